--- a/src/bin/opalline-simhost.rs
+++ b/src/bin/tulipfall-drill.rs
@@ -3,9 +3,9 @@
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 
-use opalline::interface::{Event, ListForm, Micros};
-use opalline::rules::Relay;
-use opalline::wire::{self, Fields, Names, RawEntry, WireError};
+use tulipfall::interface::{Event, ListForm, Micros};
+use tulipfall::rules::Relay;
+use tulipfall::wire::{self, Fields, Names, RawEntry, WireError};
 
 struct Instance {
     relay: Relay,
@@ -32,7 +32,7 @@
                 self.instances.insert(who, instance);
             }
             Err(message) => {
-                eprintln!("opalline-simhost: instance {who}: {message}");
+                eprintln!("tulipfall-drill: instance {who}: {message}");
                 self.reply.push_str(&format!("BROKEN {who} {message}\n"));
             }
         }
@@ -117,7 +117,7 @@
         } else if !line.is_empty()
             && let Err(error) = host.line(line)
         {
-            eprintln!("opalline-simhost: {error}");
+            eprintln!("tulipfall-drill: {error}");
         }
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! opalline decides for a relay that hands messages on to destinations nobody here controls: when a message
+//! tulipfall decides for a relay that hands messages on to destinations nobody here controls: when a message
 //! is sent, where to, for how long it is waited for, whether it is tried again, and when it is given up.
 //!
 //! The module does no I/O and reads no clock. A forwarder hands it events with its own time and carries out
@@ -8,8 +8,8 @@
 //! # Embedding it
 //!
 //! ```
-//! use opalline::interface::*;
-//! use opalline::rules::Relay;
+//! use tulipfall::interface::*;
+//! use tulipfall::rules::Relay;
 //!
 //! const SECOND: Micros = 1_000_000;
 //! let settings = Settings {
--- a/src/main.rs
+++ b/src/main.rs
@@ -9,14 +9,14 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 
-use opalline::config::Config;
-use opalline::exchange::{Clock, Input};
-use opalline::interface::Micros;
-use opalline::net::inbound::{Inbound, Vocabulary, serve};
-use opalline::net::{discovery, outbound::Outbound};
-use opalline::rules::Relay;
-use opalline::runtime::Runtime;
-use opalline::store::{Journal, Store};
+use tulipfall::config::Config;
+use tulipfall::exchange::{Clock, Input};
+use tulipfall::interface::Micros;
+use tulipfall::net::inbound::{Inbound, Vocabulary, serve};
+use tulipfall::net::{discovery, outbound::Outbound};
+use tulipfall::rules::Relay;
+use tulipfall::runtime::Runtime;
+use tulipfall::store::{Journal, Store};
 
 /// After a signal to stop, the last call must have ended within this; the platform kills after 3.7 s.
 const STOP_WITHIN: Micros = 2_500_000;
--- a/tests/failback.rs
+++ b/tests/failback.rs
@@ -1,9 +1,9 @@
 //! A destination that comes back must not be pushed over, however many senders hold messages for it.
 
 mod rig;
-use opalline::interface::*;
-use opalline::rules::Relay;
 use rig::*;
+use tulipfall::interface::*;
+use tulipfall::rules::Relay;
 
 const SENDERS: u32 = 60;
 const RATE: f64 = 12.0;
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -1,8 +1,8 @@
 //! The mechanism: free starts, one release per interval, doubling, restoring, order of release.
 
 mod rig;
-use opalline::interface::*;
 use rig::*;
+use tulipfall::interface::*;
 
 #[test]
 fn starts_are_free_until_the_first_signal() {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -1,8 +1,8 @@
 //! The module's size, and settings that make no sense.
 
 mod rig;
-use opalline::interface::SettingsError;
-use opalline::rules::Relay;
+use tulipfall::interface::SettingsError;
+use tulipfall::rules::Relay;
 
 #[test]
 fn the_module_stays_small_and_narrow() {
@@ -19,7 +19,7 @@
 
 #[test]
 fn settings_that_make_no_sense_are_named() {
-    let error = |change: fn(&mut opalline::interface::Settings)| {
+    let error = |change: fn(&mut tulipfall::interface::Settings)| {
         let mut settings = rig::settings();
         change(&mut settings);
         Relay::new(settings, 1).err().map(|e| e.to_string()).unwrap_or_default()
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -1,8 +1,8 @@
 //! Drives the module with scripted events and a scripted clock.
 #![allow(dead_code)]
 
-use opalline::interface::*;
-use opalline::rules::Relay;
+use tulipfall::interface::*;
+use tulipfall::rules::Relay;
 
 pub const MS: Micros = 1_000;
 pub const S: Micros = 1_000_000;
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -1,9 +1,9 @@
 //! Hundreds of senders, connections, and input that makes little sense.
 
 mod rig;
-use opalline::interface::*;
-use opalline::rules::Relay;
 use rig::*;
+use tulipfall::interface::*;
+use tulipfall::rules::Relay;
 
 /// One of `senders`, with endpoint 1 of destination 1 at 4 calls a second and endpoint 2 of destination 2.
 fn one_of(senders: u32) -> Rig {
--- a/tests/six_rules.rs
+++ b/tests/six_rules.rs
@@ -1,8 +1,8 @@
 //! The six rules, each with the guard that keeps it.
 
 mod rig;
-use opalline::interface::*;
 use rig::*;
+use tulipfall::interface::*;
 
 #[test]
 fn no_loss_a_message_that_cannot_go_is_answered_before_its_time_is_up() {
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -1,8 +1,8 @@
 //! One test for each failure found: the symptom, and what must not happen again.
 
 mod rig;
-use opalline::interface::*;
 use rig::*;
+use tulipfall::interface::*;
 
 /// `count` calls to a destination are answered, each after 100 ms; ids from `first` on.
 fn served(rig: &mut Rig, destination: i64, first: u64, count: u64) {
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -1,7 +1,7 @@
 //! Wire lines to interface types and back.
 
-use opalline::interface::*;
-use opalline::wire::{self, Fields, Names, RawEntry};
+use tulipfall::interface::*;
+use tulipfall::wire::{self, Fields, Names, RawEntry};
 
 const SETTINGS: &str = "Classes.count=2 Classes.0.AimUs=4000000 Classes.0.DeadlineUs=16000000 \
     Classes.0.Idempotency=deduplicated Classes.0.DedupWindowUs=5000000 Classes.0.Group=zone \
