--- a/src/config.rs
+++ b/src/config.rs
@@ -2,12 +2,17 @@
 //! environment and of JSON, and turns them into the few values that the program uses; a message names the
 //! faulty key. It must never start anything or be read again after the start.
 
+use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 
-use serde_json::Value;
+use openssl::pkey::PKey;
+use openssl::x509::X509;
+use serde_json::{Value, json};
 
-use crate::interface::Settings;
+use crate::as2::{HandsIn, Identity, Partner};
+use crate::interface::{Micros, Settings};
 use crate::net::discovery::{Told, told};
 use crate::wire::{self, Names};
 
@@ -41,6 +46,26 @@
     pub disk: u64,
 }
 
+/// Where the record is kept.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreChoice {
+    /// In the folder that lasts.
+    Journal,
+    /// In an SQLite file.
+    Sqlite(PathBuf),
+    /// In a PostgreSQL database, by its connection text.
+    Postgres(String),
+}
+
+/// The AS2 front.
+#[derive(Debug)]
+pub struct As2Config {
+    /// Where partners connect.
+    pub listen: SocketAddr,
+    /// Who the relay is to them, and who they are.
+    pub identity: Identity,
+}
+
 /// All that a relay is told at its start.
 #[derive(Debug)]
 pub struct Config {
@@ -48,8 +73,16 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
-    /// The platform's agent.
+    /// The platform's agent, which tells the destination set.
     pub discovery: Option<SocketAddr>,
+    /// Who is told of ends other than deliveries; without one they are recorded and logged.
+    pub notices: Option<SocketAddr>,
+    /// Where the record is kept.
+    pub store: StoreChoice,
+    /// How long a database keeps what is finished.
+    pub keep: Micros,
+    /// The AS2 front, off unless an operator's file sets it up.
+    pub as2: Option<As2Config>,
     /// The folder that lasts.
     pub state: PathBuf,
     /// For random numbers.
@@ -68,6 +101,9 @@
 const SOCKETS: u64 = 1024;
 /// Megabytes where no limit is told.
 const DISK_MB: f64 = 64.0;
+/// Days for which a database keeps what is finished, and receipts are remembered.
+const KEEP_DAYS: f64 = 30.0;
+const DAY: Micros = 86_400_000_000;
 /// A megabyte, by the smaller reading.
 const MB: f64 = 1e6;
 
@@ -132,10 +168,15 @@
         settings.check().map_err(|error| bad("settings", error.to_string()))?;
         let known = value.get("known").filter(|known| !known.is_null());
         let known = known.map(told).transpose().map_err(|why| bad("known", why))?;
+        let discovery = address("PROXY_DISCOVERY", "discovery")?;
         Ok(Config {
             name: text("PROXY_NAME", "name")?.unwrap_or_else(|| "relay".into()),
             listen,
-            discovery: address("PROXY_DISCOVERY", "discovery")?,
+            discovery,
+            notices: discovery,
+            store: StoreChoice::Journal,
+            keep: KEEP_DAYS as Micros * DAY,
+            as2: None,
             state: state.into(),
             seed,
             limits,
@@ -146,6 +187,14 @@
     }
 }
 
+fn read_settings(settings: &Value) -> Result<(Settings, Names), ConfigError> {
+    let mut pairs = Vec::new();
+    flatten(settings, String::new(), &mut pairs);
+    let (settings, names) = wire::settings(&pairs.join(" ")).map_err(|e| bad("settings", e.to_string()))?;
+    settings.check().map_err(|error| bad("settings", error.to_string()))?;
+    Ok((settings, names))
+}
+
 /// Nested settings in the form of the simulator's first message, which has one reader for both.
 fn flatten(value: &Value, path: String, pairs: &mut Vec<String>) {
     let under = |key: &str| if path.is_empty() { key.to_string() } else { format!("{path}.{key}") };
@@ -172,3 +221,318 @@
         other => other.to_string(),
     }
 }
+
+// ---- the operator's file ----
+
+/// One table of the operator's file. It remembers which keys were read, so that a misspelt one is named.
+struct Table<'a> {
+    value: &'a Value,
+    path: String,
+    read: RefCell<BTreeSet<&'static str>>,
+}
+
+impl<'a> Table<'a> {
+    fn new(value: &'a Value, path: &str) -> Result<Self, ConfigError> {
+        if !value.is_object() {
+            return Err(bad(path, "is not a table"));
+        }
+        Ok(Table { value, path: path.into(), read: RefCell::default() })
+    }
+
+    fn key(&self, key: &str) -> String {
+        if self.path.is_empty() { key.into() } else { format!("{}.{key}", self.path) }
+    }
+
+    fn get(&self, key: &'static str) -> Option<&'a Value> {
+        self.read.borrow_mut().insert(key);
+        self.value.get(key)
+    }
+
+    fn bad(&self, key: &str, why: impl Into<String>) -> ConfigError {
+        bad(&self.key(key), why)
+    }
+
+    fn maybe_text(&self, key: &'static str) -> Result<Option<&'a str>, ConfigError> {
+        let found = self.get(key).map(|found| found.as_str().ok_or_else(|| self.bad(key, "is not a text")));
+        found.transpose()
+    }
+
+    fn text(&self, key: &'static str) -> Result<&'a str, ConfigError> {
+        self.maybe_text(key)?.filter(|text| !text.is_empty()).ok_or_else(|| self.bad(key, "is missing"))
+    }
+
+    fn address(&self, key: &'static str) -> Result<Option<SocketAddr>, ConfigError> {
+        let text = self.maybe_text(key)?;
+        let parsed = text.map(|text| {
+            text.parse().map_err(|_| self.bad(key, format!("is {text:?}, expected address:port")))
+        });
+        parsed.transpose()
+    }
+
+    fn number(&self, key: &'static str, least: f64, default: Option<f64>) -> Result<f64, ConfigError> {
+        let expected = |found: &str| self.bad(key, format!("is {found}, expected a number, {least} or more"));
+        match self.get(key) {
+            None => default.ok_or_else(|| expected("missing")),
+            Some(found) => found
+                .as_f64()
+                .filter(|number| *number >= least && *number <= 1e12)
+                .ok_or_else(|| expected(&found.to_string())),
+        }
+    }
+
+    fn table(&self, key: &'static str) -> Result<Option<Table<'a>>, ConfigError> {
+        self.get(key).map(|value| Table::new(value, &self.key(key))).transpose()
+    }
+
+    fn tables(&self, key: &'static str) -> Result<Vec<Table<'a>>, ConfigError> {
+        let Some(found) = self.get(key) else { return Ok(vec![]) };
+        let items = found.as_array().ok_or_else(|| self.bad(key, "is not a list of tables"))?;
+        let path = |i| format!("{}.{i}", self.key(key));
+        items.iter().enumerate().map(|(i, item)| Table::new(item, &path(i))).collect()
+    }
+
+    /// Every key was meant.
+    fn finish(&self) -> Result<(), ConfigError> {
+        let read = self.read.borrow();
+        let mut keys = self.value.as_object().into_iter().flat_map(|fields| fields.keys());
+        match keys.find(|key| !read.contains(key.as_str())) {
+            Some(key) => {
+                let known: Vec<&str> = read.iter().copied().collect();
+                Err(self.bad(key, format!("is not known here; known are {}", known.join(", "))))
+            }
+            None => Ok(()),
+        }
+    }
+}
+
+impl Config {
+    /// Reads an operator's file (TOML), one for each application.
+    ///
+    /// # Errors
+    /// The first key that is missing, wrong or not known.
+    pub fn load_file(file: &Path, environment: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
+        let unreadable =
+            |why: String| ConfigError::File { file: file.display().to_string(), why: why.trim().to_string() };
+        let text = std::fs::read_to_string(file).map_err(|error| unreadable(error.to_string()))?;
+        let value: toml::Value = toml::from_str(&text).map_err(|error| unreadable(error.to_string()))?;
+        let value = serde_json::to_value(value).map_err(|error| unreadable(error.to_string()))?;
+        let folder = file.parent().unwrap_or(Path::new("."));
+        Self::operator(&Table::new(&value, "")?, folder, environment)
+    }
+
+    fn operator(
+        top: &Table, folder: &Path, environment: impl Fn(&str) -> Option<String>,
+    ) -> Result<Self, ConfigError> {
+        let name = top.text("name")?.to_string();
+        let listen = top.address("listen")?.ok_or_else(|| top.bad("listen", "is missing"))?;
+        let state = folder.join(top.text("state")?);
+        let notices = top.address("notices")?;
+        let (settings, known) = operator_settings(top)?;
+        let (settings, names) = read_settings(&settings)?;
+        let known = Some(told(&known).map_err(|why| bad("destination", why))?);
+        let limits = match top.table("limits")? {
+            None => Limits { sockets: SOCKETS as usize, disk: (DISK_MB * MB) as u64 },
+            Some(table) => {
+                let sockets = table.number("sockets", 32.0, Some(SOCKETS as f64))? as usize;
+                let disk = (table.number("disk_mb", 1.0, Some(DISK_MB))? * MB) as u64;
+                table.finish()?;
+                Limits { sockets, disk }
+            }
+        };
+        let (store, keep) = match top.table("store")? {
+            None => (StoreChoice::Journal, KEEP_DAYS as Micros * DAY),
+            Some(table) => {
+                let (file, address) = (table.maybe_text("file")?, table.maybe_text("address")?);
+                let store = match table.text("kind")? {
+                    "journal" => StoreChoice::Journal,
+                    "sqlite" => StoreChoice::Sqlite(state.join(file.unwrap_or("relay.sqlite"))),
+                    // The environment goes first, so that no password need stand in a file.
+                    "postgres" => StoreChoice::Postgres(
+                        environment("TULIPFALL_POSTGRES")
+                            .or(address.map(String::from))
+                            .ok_or_else(|| table.bad("address", "is missing, as is TULIPFALL_POSTGRES"))?,
+                    ),
+                    other => {
+                        let why = format!("is {other:?}, expected journal, sqlite or postgres");
+                        return Err(table.bad("kind", why));
+                    }
+                };
+                let keep = (table.number("keep_days", 0.01, Some(KEEP_DAYS))? * DAY as f64) as Micros;
+                table.finish()?;
+                (store, keep)
+            }
+        };
+        let as2 = top.table("as2")?;
+        let as2 = as2.map(|table| operator_as2(&table, folder, &settings, &names)).transpose()?;
+        top.finish()?;
+        Ok(Config {
+            name,
+            listen,
+            discovery: None,
+            notices,
+            store,
+            keep,
+            as2,
+            state,
+            seed: 0,
+            limits,
+            settings,
+            names,
+            known,
+        })
+    }
+}
+
+/// The settings and the destination set, in the platform's form, which has its own reader.
+fn operator_settings(top: &Table) -> Result<(Value, Value), ConfigError> {
+    let mut classes = Vec::new();
+    for class in top.tables("class")? {
+        let effect = match class.text("effect")? {
+            "repeatable" => "idempotent",
+            "once" => "at_most_once",
+            other => {
+                return Err(class.bad("effect", format!("is {other:?}, expected repeatable or once")));
+            }
+        };
+        let aim = class.number("aim_ms", 1.0, None)?;
+        let deadline = class.number("deadline_ms", aim, None)?;
+        classes.push(json!({
+            "Name": class.text("name")?,
+            "Idempotency": effect,
+            "AimUs": (aim * 1000.0) as i64,
+            "DeadlineUs": (deadline * 1000.0) as i64,
+            "Value": class.number("worth", 0.0, Some(1.0))?,
+            "LateWorth": class.number("late_worth", 0.0, Some(0.5))?,
+        }));
+        class.finish()?;
+    }
+    let mut tenants = Vec::new();
+    for tenant in top.tables("tenant")? {
+        let quota = tenant.number("per_s", 0.0, Some(1e6))?;
+        tenants.push(json!({"Name": tenant.text("name")?, "QuotaPerS": quota}));
+        tenant.finish()?;
+    }
+    let mut members = Vec::new();
+    for destination in top.tables("destination")? {
+        let cell = destination.number("number", 0.0, None)? as i64;
+        let rate = destination.number("per_s", 0.001, None)?;
+        let endpoints = destination.get("endpoints").and_then(Value::as_array);
+        let endpoints = endpoints.filter(|endpoints| !endpoints.is_empty());
+        for endpoint in endpoints.ok_or_else(|| destination.bad("endpoints", "is not a list of addresses"))? {
+            let address = endpoint.as_str().filter(|address| address.contains(':'));
+            let address = address
+                .ok_or_else(|| destination.bad("endpoints", format!("has {endpoint}, expected host:port")))?;
+            members.push(json!({"id": format!("{cell}@{address}"), "host_port": address, "locality": "here",
+                "flavor": "partner", "cell": cell, "phase": "Ready", "size": rate}));
+        }
+        destination.finish()?;
+    }
+    if members.is_empty() {
+        return Err(bad("destination", "is missing"));
+    }
+    let limits = json!({"Limits": 0});
+    let table = top.table("relay")?;
+    let fallback = Table::new(&limits, "relay")?;
+    let relay = table.as_ref().unwrap_or(&fallback);
+    let whole = |key, default| relay.number(key, 1.0, Some(default)).map(|number| number as i64);
+    let ms = |key, default| relay.number(key, 1.0, Some(default)).map(|number| (number * 1000.0) as i64);
+    let settings = json!({
+        "Classes": classes,
+        "Tenants": tenants,
+        "HostTypes": ["partner"],
+        "Zones": ["here"],
+        "Weights": "nominal",
+        "Domain": {"MaxCalls": whole("calls_at_once", 16.0)?, "Late": "by_half"},
+        "Limits": {
+            "OpenCap": whole("messages_held", 256.0)?,
+            "MaxAttempts": whole("attempts", 12.0)?,
+            "ConnectTimeoutUs": ms("connect_ms", 1000.0)?,
+            "ConnIdleUs": ms("idle_ms", 15_000.0)?,
+            "Cancel": true,
+            "RetryAfter": true,
+            "MaxRetryAfterUs": ms("retry_after_ms", 2000.0)?,
+        },
+        "PeersTotal": whole("relays", 1.0)?,
+        // What is safe where nothing is known of how destinations come back.
+        "Rules": {"ColdFrom": 0.2, "ColdUs": 10_000_000, "FallMultiple": 2.0, "OverloadForUs": 2_000_000,
+            "StopSendingWithinUs": 1_000_000},
+    });
+    if let Some(table) = table {
+        table.finish()?;
+    }
+    Ok((settings, json!({"revision": 0, "complete": true, "members": members})))
+}
+
+fn operator_as2(
+    table: &Table, folder: &Path, settings: &Settings, names: &Names,
+) -> Result<As2Config, ConfigError> {
+    let file = |table: &Table, key: &'static str| {
+        let path = folder.join(table.text(key)?);
+        std::fs::read(&path).map_err(|error| table.bad(key, format!("{}: {error}", path.display())))
+    };
+    let certificate = |table: &Table| {
+        X509::from_pem(&file(table, "certificate")?)
+            .map_err(|_| table.bad("certificate", "is no certificate in PEM form"))
+    };
+    let key = PKey::private_key_from_pem(&file(table, "key")?)
+        .map_err(|_| table.bad("key", "is no private key in PEM form"))?;
+    let own = certificate(table)?;
+    if !own.public_key().is_ok_and(|public| public.public_eq(&key)) {
+        return Err(table.bad("key", "does not belong to the certificate"));
+    }
+    let mut partners = Vec::new();
+    for partner in table.tables("partner")? {
+        let hands_in = partner.table("hands_in")?.map(|hands_in| {
+            let class = hands_in.text("class")?;
+            let class =
+                names.class(class).ok_or_else(|| hands_in.bad("class", "is no class of this file"))?;
+            let tenant = hands_in.maybe_text("tenant")?.map(|tenant| {
+                names.tenant(tenant).ok_or_else(|| hands_in.bad("tenant", "is no tenant of this file"))
+            });
+            let destination = hands_in.number("destination", 0.0, None)? as i64;
+            hands_in.finish()?;
+            let deadline = settings.classes.get(class).map_or(0, |class| class.deadline);
+            Ok(HandsIn { class, tenant: tenant.transpose()?, destination, deadline })
+        });
+        let receipt_to = partner.maybe_text("receipt_to")?.map(|text| match text.split_once('/') {
+            Some((address, path)) if address.contains(':') => Ok((address.into(), format!("/{path}"))),
+            _ => Err(partner.bad("receipt_to", format!("is {text:?}, expected host:port/path"))),
+        });
+        let destination = partner.get("destination").is_some();
+        let destination = destination.then(|| partner.number("destination", 0.0, None)).transpose()?;
+        let asynchronous = match partner.maybe_text("receipt")?.unwrap_or("sync") {
+            "sync" => false,
+            "async" => true,
+            other => return Err(partner.bad("receipt", format!("is {other:?}, expected sync or async"))),
+        };
+        partners.push(Partner {
+            name: partner.text("name")?.into(),
+            certificate: certificate(&partner)?,
+            destination: destination.map(|destination| destination as i64),
+            path: partner.maybe_text("path")?.unwrap_or("/").into(),
+            asynchronous,
+            hands_in: hands_in.transpose()?,
+            receipt_to: receipt_to.transpose()?,
+        });
+        partner.finish()?;
+    }
+    let remember = table.number("remember_days", 0.01, Some(KEEP_DAYS))?;
+    let config = As2Config {
+        listen: table.address("listen")?.ok_or_else(|| table.bad("listen", "is missing"))?,
+        identity: Identity {
+            name: table.text("name")?.into(),
+            key,
+            certificate: own,
+            receipt_url: table.text("receipt_url")?.into(),
+            remember: (remember * DAY as f64) as Micros,
+            partners,
+        },
+    };
+    table.finish()?;
+    Ok(config)
+}
+
+/// What `config init` writes for an application.
+pub fn template(application: &str) -> String {
+    include_str!("template.toml").replace("APPLICATION", application)
+}
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -9,6 +9,7 @@
 use tokio::sync::oneshot;
 
 use crate::interface::{ListForm, Micros, Outcome, Report, TargetId};
+use crate::store::Receipt;
 use crate::wire::RawEntry;
 
 /// The relay's clock: Unix time in microseconds that never runs backwards while the process lives.
@@ -124,14 +125,17 @@
 /// What the fronts tell the runtime.
 #[derive(Debug)]
 pub enum Input {
-    /// A client handed in a message and waits for the answer.
-    Handed(Arc<Exchange>, oneshot::Sender<Answer>),
+    /// A client handed in a message and waits for the answer; the receipt it will be given, where its front
+    /// gives one, is stored with it.
+    Handed(Arc<Exchange>, Option<Receipt>, oneshot::Sender<Answer>),
     /// The client of a message could not be told that it was taken on.
     Withdrawn(String),
     /// An attempt ended.
     Ended(CallEnd),
     /// News of the destination set.
     Listed(ListForm, Vec<Member>),
+    /// A receipt came for a message that was sent.
+    Receipt(Receipt),
     /// The platform has acknowledged these notices.
     Acknowledged(Vec<String>),
     /// The process is to stop; the last call must have ended by then.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -76,6 +76,7 @@
 //! ```
 #![forbid(unsafe_code)]
 
+pub mod as2;
 pub mod config;
 pub mod exchange;
 pub mod interface;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,8 @@
-//! The program: reads its configuration, replays its store, and starts the fronts around the runtime. Owns
-//! the order of start and stop. It must never decide anything about a message.
+//! The program: reads its configuration, replays its store, and starts the fronts around the runtime; or
+//! writes and checks configurations. Owns the order of start and stop. It must never decide anything about a
+//! message.
 
+use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -9,23 +11,42 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 
-use tulipfall::config::Config;
+use tulipfall::as2::As2;
+use tulipfall::config::{Config, StoreChoice, template};
 use tulipfall::exchange::{Clock, Input};
 use tulipfall::interface::Micros;
-use tulipfall::net::inbound::{Inbound, Vocabulary, serve};
-use tulipfall::net::{discovery, outbound::Outbound};
+use tulipfall::net::discovery;
+use tulipfall::net::inbound::{Front, Inbound, Vocabulary, serve};
+use tulipfall::net::outbound::{Connections, Outbound};
 use tulipfall::rules::Relay;
 use tulipfall::runtime::Runtime;
-use tulipfall::store::{Journal, Store};
+use tulipfall::store::{Database, Journal, Replay, Store};
 
 /// After a signal to stop, the last call must have ended within this; the platform kills after 3.7 s.
 const STOP_WITHIN: Micros = 2_500_000;
 /// Inputs on their way to the runtime.
 const INPUTS: usize = 1024;
+const USAGE: &str = "usage: tulipfall                        one relay; PROXY_CONFIG names its configuration
+       tulipfall run --config FILE      one relay, by an operator's file
+       tulipfall config init APP [FILE] writes a configuration for an application
+       tulipfall config check FILE ...  tells whether configurations can be used";
+
+type Failure = Box<dyn std::error::Error>;
 
 fn main() -> ExitCode {
-    let built = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let result = built.map_err(Into::into).and_then(|runtime| runtime.block_on(run()));
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
+    let environment = |variable: &str| std::env::var(variable).ok();
+    let result = match arguments[..] {
+        [] | ["run"] => Config::load(environment).map_err(Into::into).and_then(start),
+        ["run", "--config", file] => {
+            Config::load_file(Path::new(file), environment).map_err(Into::into).and_then(start)
+        }
+        ["config", "init", application] => init(application, &format!("{application}.toml")),
+        ["config", "init", application, file] => init(application, file),
+        ["config", "check", ref files @ ..] if !files.is_empty() => check(files),
+        _ => Err(USAGE.into()),
+    };
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
@@ -35,42 +56,102 @@
     }
 }
 
-async fn run() -> Result<(), Box<dyn std::error::Error>> {
-    let config = Config::load(|variable| std::env::var(variable).ok())?;
+fn init(application: &str, file: &str) -> Result<(), Failure> {
+    let plain = |c: char| c.is_ascii_alphanumeric() || c == '-' || c == '_';
+    if application.is_empty() || !application.chars().all(plain) {
+        return Err(format!("application {application:?}: expected letters, digits, - and _").into());
+    }
+    // Never over a file that is there: an operator may have changed it.
+    let mut file = std::fs::File::create_new(file).map_err(|error| format!("{file}: {error}"))?;
+    std::io::Write::write_all(&mut file, template(application).as_bytes())?;
+    Ok(())
+}
+
+fn check(files: &[&str]) -> Result<(), Failure> {
+    let mut wrong = 0;
+    for file in files {
+        match Config::load_file(Path::new(file), |variable| std::env::var(variable).ok()) {
+            Ok(config) => println!("{file}: {} can be used", config.name),
+            Err(error) => {
+                println!("{file}: {error}");
+                wrong += 1;
+            }
+        }
+    }
+    if wrong == 0 { Ok(()) } else { Err(format!("{wrong} of {} cannot be used", files.len()).into()) }
+}
+
+fn start(config: Config) -> Result<(), Failure> {
+    tokio::runtime::Builder::new_current_thread().enable_all().build()?.block_on(run(config))
+}
+
+async fn open(config: &Config, now: Micros) -> Result<(Store, Replay), Failure> {
+    std::fs::create_dir_all(&config.state).map_err(|error| format!("{}: {error}", config.state.display()))?;
+    Ok(match &config.store {
+        StoreChoice::Journal => {
+            let (journal, replay) = Journal::open(&config.state, config.limits.disk)?;
+            (Store::Journal(journal), replay)
+        }
+        StoreChoice::Sqlite(file) => {
+            let (disk, keep) = (config.limits.disk, config.keep);
+            let (database, replay) = Database::sqlite(file, &config.name, disk, keep, now).await?;
+            (Store::Database(Box::new(database)), replay)
+        }
+        StoreChoice::Postgres(address) => {
+            let (database, replay) = Database::postgres(address, &config.name, config.keep, now).await?;
+            (Store::Database(Box::new(database)), replay)
+        }
+    })
+}
+
+async fn run(config: Config) -> Result<(), Failure> {
     let clock = Clock::start();
-    // Bound first, so that clients wait for the replay rather than be turned away.
-    let listener = TcpListener::bind(config.listen).await?;
     let (inputs, received) = mpsc::channel(INPUTS);
     let (notices, owed) = mpsc::unbounded_channel();
     let (stop, stopping) = watch::channel(false);
-    let outbound = Outbound::new(
-        clock,
-        inputs.clone(),
-        config.settings.connect_timeout,
-        config.settings.connection_idle,
-    );
+    let front = |front| {
+        let (inputs, stopping) = (inputs.clone(), stopping.clone());
+        Arc::new(Inbound { clock, front, inputs, ready: AtomicBool::new(false), stopping })
+    };
+    // Half of the descriptors for clients; the rest for endpoints, idle connections, files and the agent.
+    let most_clients = config.limits.sockets / 2;
+
+    // Bound before the replay, so that clients wait for it rather than be turned away.
+    let listener = listen(config.listen).await?;
     let vocabulary =
         Vocabulary { classes: config.names.classes().to_vec(), tenants: config.names.tenants().to_vec() };
-    let ready = AtomicBool::new(false);
-    let inbound = Arc::new(Inbound { clock, vocabulary, inputs: inputs.clone(), ready, stopping });
-    // Half of the descriptors for clients; the rest for endpoints, idle connections, files and the agent.
-    tokio::spawn(serve(listener, inbound.clone(), config.limits.sockets / 2));
+    let platform = front(Front::Platform(vocabulary));
+    tokio::spawn(serve(listener, platform.clone(), most_clients));
 
-    let (journal, replay) = Journal::open(&config.state, config.limits.disk)?;
+    let (store, replay) = open(&config, clock.now()).await?;
+    let settings = &config.settings;
+    let connections = Connections::new(clock, settings.connect_timeout, settings.connection_idle);
+    let as2 = config.as2.map(|as2| {
+        let receipts = replay.receipts.clone();
+        let front = As2::new(as2.identity, clock, inputs.clone(), connections.clone(), receipts);
+        (as2.listen, Arc::new(front))
+    });
+    let partners = as2.as_ref().map(|(_, front)| front.clone());
+    let caller = Box::new(Outbound::new(clock, inputs.clone(), connections.clone(), partners));
     let (messages, pending) = (replay.messages.len(), replay.notices.len());
     let relay = Relay::new(config.settings.clone(), config.seed)?;
-    let (store, caller) = (Store::Journal(journal), Box::new(outbound.clone()));
     let mut runtime = Runtime::new(clock, relay, config.names, &config.settings, store, caller, notices);
     let revision = config.known.as_ref().map_or(0, |known| known.revision);
     runtime.resume(config.known.map(|known| known.members).unwrap_or_default(), replay).await?;
+
     if let Some(address) = config.discovery {
-        let address: Arc<str> = address.to_string().into();
-        tokio::spawn(discovery::follow(clock, address.clone(), revision, inputs.clone()));
-        tokio::spawn(discovery::notify(clock, address, owed, inputs.clone()));
+        tokio::spawn(discovery::follow(clock, address.to_string().into(), revision, inputs.clone()));
+    }
+    let address = config.notices.map(|address| address.to_string().into());
+    tokio::spawn(discovery::notify(clock, address, owed, inputs.clone()));
+    if let Some((address, as2)) = as2 {
+        let as2 = front(Front::As2(as2));
+        as2.ready.store(true, Ordering::Relaxed);
+        tokio::spawn(serve(listen(address).await?, as2, most_clients / 2));
     }
     tokio::spawn(async move {
         loop {
-            let again = outbound.retire();
+            let again = connections.retire();
             tokio::time::sleep_until(clock.instant(again)).await;
         }
     });
@@ -84,8 +165,16 @@
         let _ = stop.send(true);
         let _ = inputs.send(Input::Stop(clock.now() + STOP_WITHIN)).await;
     });
-    inbound.ready.store(true, Ordering::Relaxed);
+    platform.ready.store(true, Ordering::Relaxed);
     eprintln!("tulipfall: {} ready, {messages} messages and {pending} notices taken on again", config.name);
     runtime.run(received).await?;
     Ok(())
 }
+
+async fn listen(address: std::net::SocketAddr) -> Result<TcpListener, Failure> {
+    let bound = TcpListener::bind(address).await;
+    let listener = bound.map_err(|error| format!("listen {address}: {error}"))?;
+    // Told, as port 0 lets the system choose one.
+    eprintln!("tulipfall: listening on {}", listener.local_addr()?);
+    Ok(listener)
+}
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -124,20 +124,17 @@
 
 /// Takes notices to the platform, each until it is acknowledged.
 pub async fn notify(
-    clock: Clock, address: Arc<str>, mut notices: mpsc::UnboundedReceiver<Notice>,
+    clock: Clock, address: Option<Arc<str>>, mut notices: mpsc::UnboundedReceiver<Notice>,
     inputs: mpsc::Sender<Input>,
 ) {
     let mut kept = None;
     let mut pending = Vec::new();
     while notices.recv_many(&mut pending, 64).await > 0 {
-        loop {
-            let mut body = String::new();
-            for notice in &pending {
-                body.push_str(&line(notice));
-            }
-            let mut request = Message::request("POST", "/reports").with("Host", &*address);
-            request.body = body.into();
-            let answer = ask(clock, &address, &mut kept, &request, clock.now() + SILENCE).await;
+        let lines: String = pending.iter().map(line).collect();
+        while let Some(address) = &address {
+            let mut request = Message::request("POST", "/reports").with("Host", &**address);
+            request.body = lines.clone().into();
+            let answer = ask(clock, address, &mut kept, &request, clock.now() + SILENCE).await;
             match answer.map(|answer| answer.start) {
                 Some(Start::Response(204)) => break,
                 other => {
@@ -147,6 +144,10 @@
                 }
             }
         }
+        // With nobody to tell, an end is told by the record and the log.
+        if address.is_none() {
+            eprint!("tulipfall: ended: {lines}");
+        }
         let ids = pending.drain(..).map(|notice| notice.id).collect();
         if inputs.send(Input::Acknowledged(ids)).await.is_err() {
             return;
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -10,6 +10,7 @@
 use tokio_util::codec::Framed;
 
 use super::http::{Codec, HttpError, Message, Start};
+use crate::as2::{As2, MOST_MESSAGE};
 use crate::exchange::{Answer, Clock, Exchange, Input};
 use crate::interface::Micros;
 
@@ -29,12 +30,20 @@
     pub tenants: Vec<String>,
 }
 
-/// What all connections share.
+/// What is spoken on a listening socket.
+pub enum Front {
+    /// The platform's protocol.
+    Platform(Vocabulary),
+    /// AS2.
+    As2(Arc<As2>),
+}
+
+/// What all connections of a socket share.
 pub struct Inbound {
     /// The clock.
     pub clock: Clock,
-    /// The names that are known.
-    pub vocabulary: Vocabulary,
+    /// What is spoken here.
+    pub front: Front,
     /// To the runtime.
     pub inputs: mpsc::Sender<Input>,
     /// Set once the store has been replayed.
@@ -67,7 +76,8 @@
 
 async fn connection(stream: TcpStream, inbound: &Inbound) {
     let _ = stream.set_nodelay(true);
-    let mut framed = Framed::new(stream, Codec::server(MOST_BODY));
+    let most = if matches!(inbound.front, Front::As2(_)) { MOST_MESSAGE } else { MOST_BODY };
+    let mut framed = Framed::new(stream, Codec::server(most));
     let mut stopping = inbound.stopping.clone();
     loop {
         let idle = inbound.clock.instant(inbound.clock.now() + IDLE);
@@ -116,9 +126,12 @@
             (Message::response(200, "ready"), None)
         }
         ("GET", "/health/ready") => (Message::response(503, "replaying"), None),
-        ("POST", _) => match read(&request, path, inbound) {
-            Err((status, why)) => (Message::response(status, why), None),
-            Ok(exchange) => hand_in(exchange, inbound).await,
+        ("POST", _) => match &inbound.front {
+            Front::Platform(names) => match read(&request, path, inbound.clock.now(), names) {
+                Err((status, why)) => (Message::response(status, why), None),
+                Ok(exchange) => hand_in(exchange, inbound).await,
+            },
+            Front::As2(front) => (front.answer(&request).await, None),
         },
         _ => (Message::response(405, "POST hands in a message"), None),
     }
@@ -127,7 +140,7 @@
 async fn hand_in(exchange: Exchange, inbound: &Inbound) -> (Message, Option<String>) {
     let id = exchange.id.clone();
     let (reply, answer) = oneshot::channel();
-    if inbound.inputs.send(Input::Handed(Arc::new(exchange), reply)).await.is_err() {
+    if inbound.inputs.send(Input::Handed(Arc::new(exchange), None, reply)).await.is_err() {
         return (Message::response(503, "stopped"), None);
     }
     match answer.await {
@@ -145,8 +158,9 @@
     }
 }
 
-fn read(request: &Message, path: &str, inbound: &Inbound) -> Result<Exchange, (u16, &'static str)> {
-    let names = &inbound.vocabulary;
+fn read(
+    request: &Message, path: &str, now: Micros, names: &Vocabulary,
+) -> Result<Exchange, (u16, &'static str)> {
     let class = path.trim_start_matches('/').split('/').next().unwrap_or_default();
     let class = names.classes.iter().position(|name| name == class).ok_or((404, "unknown class"))?;
     let id = request.header("X-Correlation-Id").filter(|id| !id.is_empty() && id.len() <= MOST_ID);
@@ -164,7 +178,7 @@
     let pairs = extras.split([',', ';', ' ']).filter_map(|pair| pair.split_once('='));
     let destination = pairs.filter(|(name, _)| *name == "dest").find_map(|(_, value)| value.parse().ok());
     let destination = destination.ok_or((400, "X-Addressing names no dest"))?;
-    let due = inbound.clock.now().saturating_add(left);
+    let due = now.saturating_add(left);
     Ok(Exchange { id: id.to_string(), class, tenant, due, destination, body: request.body.clone() })
 }
 
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -11,6 +11,7 @@
 use tokio_util::codec::Framed;
 
 use super::http::{Codec, Message, Start};
+use crate::as2::As2;
 use crate::exchange::{CallEnd, Clock, Input, OutboundCall};
 use crate::interface::{Micros, Outcome, Report};
 use crate::runtime::Caller;
@@ -33,23 +34,30 @@
     count: usize,
 }
 
-/// Makes calls.
+/// The connections to endpoints, on which one request at a time is answered.
 #[derive(Clone)]
-pub struct Outbound {
+pub struct Connections {
     clock: Clock,
-    inputs: mpsc::Sender<Input>,
     connect_within: Micros,
     idle_for: Micros,
     pool: Arc<Mutex<Pool>>,
 }
 
+/// Makes calls.
+#[derive(Clone)]
+pub struct Outbound {
+    clock: Clock,
+    inputs: mpsc::Sender<Input>,
+    connections: Connections,
+    as2: Option<Arc<As2>>,
+}
+
 impl Outbound {
-    /// With the settings' limits on connecting and on idle connections.
+    /// Calls go by the platform's protocol, but for the destinations that AS2 partners serve.
     pub fn new(
-        clock: Clock, inputs: mpsc::Sender<Input>, connect_within: Micros, idle_limit: Micros,
+        clock: Clock, inputs: mpsc::Sender<Input>, connections: Connections, as2: Option<Arc<As2>>,
     ) -> Self {
-        let idle_for = idle_limit - idle_limit / RETIRE_PART;
-        Outbound { clock, inputs, connect_within, idle_for, pool: Arc::default() }
+        Outbound { clock, inputs, connections, as2 }
     }
 
     async fn run(self, call: OutboundCall, called_off: oneshot::Receiver<()>) {
@@ -69,35 +77,61 @@
     }
 
     async fn attempt(&self, call: &OutboundCall, written: &mut bool) -> (Outcome, bool, Report) {
-        let none = Report::default();
-        let mut connection = match self.idle(&call.address) {
+        if let Some(as2) = &self.as2
+            && let Some(partner) = as2.partner_of(call.exchange.destination)
+        {
+            return as2.attempt(call, partner, written).await;
+        }
+        let left = (call.deadline - self.clock.now()).max(0) / 1000;
+        let mut request = Message::request("POST", "/v1/messages")
+            .with("Host", &*call.address)
+            .with("X-Correlation-Id", &call.exchange.id)
+            .with("X-Time-Left", format!("{left}m"));
+        request.body = call.exchange.body.clone();
+        match self.connections.ask(&call.address, &request, written).await {
+            Ok(answer) => read(&answer),
+            Err(outcome) => (outcome, false, Report::default()),
+        }
+    }
+}
+
+impl Connections {
+    /// With the settings' limits on connecting and on idle connections.
+    pub fn new(clock: Clock, connect_within: Micros, idle_limit: Micros) -> Self {
+        let idle_for = idle_limit - idle_limit / RETIRE_PART;
+        Connections { clock, connect_within, idle_for, pool: Arc::default() }
+    }
+
+    /// Writes a request once, on one connection, and reads the answer; `written` tells whether its last byte
+    /// went out. Whoever drops this in between ends the connection.
+    ///
+    /// # Errors
+    /// The outcome, where no answer came.
+    pub async fn ask(
+        &self, address: &Arc<str>, request: &Message, written: &mut bool,
+    ) -> Result<Message, Outcome> {
+        let mut connection = match self.idle(address) {
             Some(connection) => connection,
             None => {
                 let by = self.clock.instant(self.clock.now() + self.connect_within);
-                match tokio::time::timeout_at(by, TcpStream::connect(&*call.address)).await {
+                match tokio::time::timeout_at(by, TcpStream::connect(&**address)).await {
                     Ok(Ok(stream)) => {
                         let _ = stream.set_nodelay(true);
                         Framed::new(stream, Codec::client(MOST_BODY))
                     }
-                    _ => return (Outcome::ConnectFailed, false, none),
+                    _ => return Err(Outcome::ConnectFailed),
                 }
             }
         };
-        let left = (call.deadline - self.clock.now()).max(0) / 1000;
-        let mut request = Message::request("POST", "/v1/messages")
-            .with("Host", &*call.address)
-            .with("X-Correlation-Id", &call.exchange.id)
-            .with("X-Time-Left", format!("{left}m"));
-        request.body = call.exchange.body.clone();
-        if connection.send(&request).await.is_err() && !connection.write_buffer().is_empty() {
-            return (Outcome::ConnectFailed, false, none);
+        if connection.send(request).await.is_err() && !connection.write_buffer().is_empty() {
+            return Err(Outcome::ConnectFailed);
         }
         *written = true;
-        let Some(Ok(answer)) = connection.next().await else { return (Outcome::Reset, false, none) };
+        let Some(Ok(answer)) = connection.next().await else { return Err(Outcome::Reset) };
         if answer.keep_alive && connection.read_buffer().is_empty() {
-            self.keep(&call.address, connection);
+            self.keep(address, connection);
         }
-        read(&answer)
+        Ok(answer)
     }
 
     /// An idle connection that the other side has not ended, as far as can be seen.
@@ -142,6 +176,14 @@
     }
 }
 
+/// The wait that an answer tells, if it tells one.
+pub fn full(answer: &Message) -> Option<Micros> {
+    let wait = answer.header("Retry-After").and_then(|text| text.parse::<f64>().ok());
+    // A day at the most: it guards the sums made with it.
+    let wait = wait.filter(|wait| wait.is_finite() && *wait > 0.0).map(|wait| wait.min(86_400.0));
+    wait.map(|wait| (wait * 1e6).ceil() as Micros)
+}
+
 impl Caller for Outbound {
     fn call(&self, call: OutboundCall) -> oneshot::Sender<()> {
         let (handle, called_off) = oneshot::channel();
@@ -150,7 +192,7 @@
     }
 
     fn close(&self, address: &str) {
-        let mut pool = self.pool.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut pool = self.connections.pool.lock().unwrap_or_else(PoisonError::into_inner);
         let closed = pool.idle.remove(address).map_or(0, |idle| idle.len());
         pool.count -= closed;
     }
@@ -159,8 +201,7 @@
 /// What an answer means.
 fn read(answer: &Message) -> (Outcome, bool, Report) {
     let Start::Response(status) = answer.start else { return (Outcome::Reset, false, Report::default()) };
-    let wait = answer.header("Retry-After").and_then(|text| text.parse::<f64>().ok());
-    let wait = wait.filter(|wait| wait.is_finite() && *wait > 0.0).map(|wait| (wait * 1e6).ceil() as Micros);
+    let wait = full(answer);
     let outcome = match status {
         200 => Outcome::Ok,
         429 => Outcome::Full(wait),
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -10,7 +10,7 @@
 use crate::exchange::{Answer, CallEnd, Clock, Exchange, Input, Member, Notice, OutboundCall};
 use crate::interface::*;
 use crate::rules::Relay;
-use crate::store::{Record, Replay, Store, StoreError, Stored};
+use crate::store::{Receipt, Record, Replay, Store, StoreError, Stored};
 use crate::wire::Names;
 
 /// Inputs taken together, with one write to the store.
@@ -162,10 +162,15 @@
 
     fn input(&mut self, input: Input) {
         match input {
-            Input::Handed(exchange, reply) => self.handed(exchange, reply),
+            Input::Handed(exchange, receipt, reply) => self.handed(exchange, receipt, reply),
             Input::Withdrawn(id) => self.withdrawn(&id),
             Input::Ended(end) => self.ended(end),
             Input::Listed(form, members) => self.listed(form, members),
+            // Nothing rests on one that finds no room: what was answered stays as it is in any case.
+            Input::Receipt(receipt) if self.store.room(receipt.bytes.len()) => {
+                self.records.push(Record::Receipt(receipt));
+            }
+            Input::Receipt(receipt) => eprintln!("tulipfall: no room to record {:?}", receipt.key),
             Input::Acknowledged(ids) => {
                 for id in ids {
                     self.owed.remove(&id);
@@ -180,14 +185,15 @@
     }
 
     /// Guards memory, disk and the module against what they cannot hold, before anything is promised.
-    fn handed(&mut self, exchange: Arc<Exchange>, reply: oneshot::Sender<Answer>) {
+    fn handed(&mut self, exchange: Arc<Exchange>, receipt: Option<Receipt>, reply: oneshot::Sender<Answer>) {
+        let bytes = exchange.body.len() + receipt.as_ref().map_or(0, |receipt| receipt.bytes.len());
         let refusal = if self.ids.contains_key(&exchange.id) {
             Some(Answer::Taken)
         } else if !self.destinations.contains(&exchange.destination) {
             Some(Answer::Refused("unknown dest", None))
         } else if self.held.len() >= self.max_held {
             Some(Answer::Refused("as many messages held as may be", None))
-        } else if !self.store.room(exchange.body.len()) {
+        } else if !self.store.room(bytes) {
             Some(Answer::Refused("no room on the disk", None))
         } else {
             None
@@ -225,6 +231,7 @@
                 attempts: 0,
                 may_have_run: false,
             }));
+            self.records.extend(receipt.map(Record::Receipt));
         } else {
             self.forget(id);
         }
@@ -350,7 +357,7 @@
     /// Stores what was decided, then lets it out.
     async fn commit(&mut self) -> Result<(), StoreError> {
         if !self.records.is_empty() {
-            self.store.append(&self.records).await?;
+            self.store.append(self.clock.now(), &self.records).await?;
             self.records.clear();
         }
         for effect in std::mem::take(&mut self.effects) {
--- a/src/store.rs
+++ b/src/store.rs
@@ -26,6 +26,9 @@
         /// Where.
         at: u64,
     },
+    /// The database failed.
+    #[error("store: {0}")]
+    Database(String),
     /// A write would go over the limit on the disk.
     #[error("store: the limit of {limit} bytes leaves no room for {need} more")]
     Full {
@@ -90,6 +93,40 @@
         /// The message.
         id: String,
     },
+    /// A receipt was given or got.
+    Receipt(Receipt),
+}
+
+impl Record {
+    /// What it concerns, and what it is, in a word.
+    fn label(&self) -> (&str, &'static str) {
+        match self {
+            Record::Taken(stored) => (&stored.id, "taken"),
+            Record::Started { id, .. } => (id, "attempt started"),
+            Record::Outcome { id, .. } => (id, "outcome"),
+            Record::Ended { id, .. } => (id, "ended"),
+            Record::Acknowledged { id } => (id, "notice acknowledged"),
+            Record::Receipt(receipt) => (&receipt.key, "receipt"),
+        }
+    }
+
+    /// With this record a message is finished.
+    fn finishes(&self) -> bool {
+        matches!(self, Record::Ended { notice: None, .. } | Record::Acknowledged { .. })
+    }
+}
+
+/// A receipt that was given or got, kept so that a duplicate is answered with the same one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Receipt {
+    /// Whom it concerns and what, as one text; a line end in it keeps it apart from ids of messages.
+    pub key: String,
+    /// When it was made or came.
+    pub at: Micros,
+    /// It is remembered until then.
+    pub until: Micros,
+    /// Its bytes.
+    pub bytes: Bytes,
 }
 
 /// What a start finds: messages that are owed their end, and notices that are owed their acknowledgement.
@@ -99,6 +136,8 @@
     pub messages: Vec<Stored>,
     /// Not acknowledged yet.
     pub notices: Vec<Notice>,
+    /// Still remembered.
+    pub receipts: Vec<Receipt>,
 }
 
 /// State of one message, folded from its records.
@@ -107,6 +146,7 @@
     seq: u64,
     message: Option<Stored>,
     notice: Option<Notice>,
+    receipt: Option<Receipt>,
     /// An attempt is out.
     open: bool,
     /// Where the record lies from which the state can be rebuilt, and its size there.
@@ -114,6 +154,12 @@
     size: u64,
 }
 
+impl Live {
+    fn new(seq: u64, segment: u64, size: u64) -> Self {
+        Live { seq, message: None, notice: None, receipt: None, open: false, segment, size }
+    }
+}
+
 /// All messages that are not finished. The fold of the record model: replay and every backend use it.
 #[derive(Debug, Default)]
 struct Book {
@@ -133,7 +179,7 @@
                     moved(old.segment, -1);
                 }
                 let message = Some(stored.clone());
-                let live = Live { seq, message, notice: None, open: false, segment, size };
+                let live = Live { message, ..Live::new(seq, segment, size) };
                 self.live.insert(stored.id.clone(), live);
                 moved(segment, 1);
             }
@@ -162,7 +208,7 @@
                     self.seq += 1;
                     let seq = old.map_or(self.seq, |old| old.seq);
                     let notice = Some(notice.clone());
-                    let live = Live { seq, message: None, notice, open: false, segment, size };
+                    let live = Live { notice, ..Live::new(seq, segment, size) };
                     self.live.insert(id.clone(), live);
                     moved(segment, 1);
                 }
@@ -172,14 +218,41 @@
                     moved(old.segment, -1);
                 }
             }
+            Record::Receipt(receipt) => {
+                self.seq += 1;
+                let live = Live { receipt: Some(receipt.clone()), ..Live::new(self.seq, segment, size) };
+                if let Some(old) = self.live.insert(receipt.key.clone(), live) {
+                    moved(old.segment, -1);
+                }
+                moved(segment, 1);
+            }
         }
     }
 
+    /// Forgets the receipts that are remembered no longer.
+    fn forget_receipts(&mut self, now: Micros, mut moved: impl FnMut(u64, i64)) {
+        self.live.retain(|_, live| {
+            let keep = live.receipt.as_ref().is_none_or(|receipt| receipt.until > now);
+            if !keep {
+                moved(live.segment, -1);
+            }
+            keep
+        });
+    }
+
+    /// Messages and notices that are not finished.
+    fn unfinished(&self) -> u64 {
+        self.live.values().filter(|live| live.receipt.is_none()).count() as u64
+    }
+
     /// The record from which a message's state can be rebuilt.
     fn state(live: &Live) -> Option<Record> {
         if let Some(notice) = &live.notice {
             return Some(Record::Ended { id: notice.id.clone(), notice: Some(notice.clone()) });
         }
+        if let Some(receipt) = &live.receipt {
+            return Some(Record::Receipt(receipt.clone()));
+        }
         let message = live.message.clone()?;
         let may_have_run = message.may_have_run || live.open;
         Some(Record::Taken(Stored { may_have_run, ..message }))
@@ -193,6 +266,7 @@
             match Self::state(live) {
                 Some(Record::Taken(stored)) => replay.messages.push(stored),
                 Some(Record::Ended { notice: Some(notice), .. }) => replay.notices.push(notice),
+                Some(Record::Receipt(receipt)) => replay.receipts.push(receipt),
                 _ => {}
             }
         }
@@ -245,6 +319,13 @@
             out.push(b'A');
             put(out, id.as_bytes());
         }
+        Record::Receipt(receipt) => {
+            out.push(b'R');
+            put(out, receipt.key.as_bytes());
+            out.extend_from_slice(&receipt.at.to_le_bytes());
+            out.extend_from_slice(&receipt.until.to_le_bytes());
+            put(out, &receipt.bytes);
+        }
     }
 }
 
@@ -305,6 +386,12 @@
             Record::Ended { id, notice }
         }
         b'A' => Record::Acknowledged { id: bits.text()? },
+        b'R' => Record::Receipt(Receipt {
+            key: bits.text()?,
+            at: i64::from_le_bytes(bits.array()?),
+            until: i64::from_le_bytes(bits.array()?),
+            bytes: Bytes::copy_from_slice(bits.bytes()?),
+        }),
         _ => return None,
     })
 }
@@ -341,6 +428,12 @@
     live: u64,
 }
 
+fn shift(segments: &mut VecDeque<Segment>, number: u64, by: i64) {
+    if let Some(segment) = segments.iter_mut().find(|segment| segment.number == number) {
+        segment.live = segment.live.saturating_add_signed(by);
+    }
+}
+
 fn blocks(bytes: u64) -> u64 {
     bytes.div_ceil(BLOCK) * BLOCK
 }
@@ -409,11 +502,7 @@
 
     fn note(&mut self, record: &Record, number: u64, size: u64) {
         let segments = &mut self.segments;
-        self.book.apply(record, number, size, |number, by| {
-            if let Some(segment) = segments.iter_mut().find(|segment| segment.number == number) {
-                segment.live = segment.live.saturating_add_signed(by);
-            }
-        });
+        self.book.apply(record, number, size, |number, by| shift(segments, number, by));
     }
 
     /// What the files take on the disk.
@@ -424,15 +513,17 @@
     /// Whether a message with such a body can be taken on, with room left to record its end.
     pub fn room(&self, body: usize) -> bool {
         let need = body as u64 + TO_END;
-        self.used() + need + (self.book.live.len() as u64 + 1) * TO_END + TO_COMPACT <= self.limit
+        self.used() + need + (self.book.unfinished() + 1) * TO_END + TO_COMPACT <= self.limit
     }
 
     /// Writes records, all or none.
     ///
     /// # Errors
     /// Where the limit or the disk does not let it; nothing was written then.
-    pub fn append(&mut self, records: &[Record]) -> Result<(), StoreError> {
+    pub fn append(&mut self, now: Micros, records: &[Record]) -> Result<(), StoreError> {
         self.write(records)?;
+        let segments = &mut self.segments;
+        self.book.forget_receipts(now, |number, by| shift(segments, number, by));
         self.reclaim()
     }
 
@@ -506,18 +597,242 @@
     }
 }
 
+// ---- databases ----
+
+/// The table, in the words that both databases read. Records travel as hexadecimal text.
+const TABLE: &str = "CREATE TABLE IF NOT EXISTS tulipfall_records (relay TEXT NOT NULL, seq BIGINT NOT NULL, \
+    message TEXT NOT NULL, kind TEXT NOT NULL, at BIGINT NOT NULL, finished INTEGER NOT NULL, \
+    record TEXT NOT NULL, PRIMARY KEY (relay, seq)); \
+    CREATE INDEX IF NOT EXISTS tulipfall_message ON tulipfall_records (relay, message)";
+/// A write to a server that fails is tried so often, each on a new connection.
+const TRIES: usize = 3;
+
+enum Engine {
+    Sqlite(rusqlite::Connection),
+    Postgres { address: String, client: Option<tokio_postgres::Client> },
+}
+
+/// The store of record in a database: one row a record, the finished ones kept for a while as a history.
+pub struct Database {
+    engine: Engine,
+    relay: String,
+    /// Bytes that a database file may take, halved, as its rollback journal may be as large.
+    limit: Option<u64>,
+    keep: Micros,
+    prune_at: Micros,
+    book: Book,
+    seq: u64,
+}
+
+/// A text as a literal of SQL. Guards the statements against what clients choose as ids.
+fn quote(text: &str) -> String {
+    format!("'{}'", text.replace('\0', "").replace('\'', "''"))
+}
+
+fn hex(bytes: &[u8]) -> String {
+    use std::fmt::Write as _;
+    bytes.iter().fold(String::with_capacity(2 * bytes.len()), |mut text, byte| {
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
+
+fn unhex(text: &str) -> Option<Vec<u8>> {
+    let digits = text.as_bytes();
+    let pair = |pair: &[u8]| u8::from_str_radix(std::str::from_utf8(pair).ok()?, 16).ok();
+    digits.len().is_multiple_of(2).then(|| digits.chunks(2).map(pair).collect()).flatten()
+}
+
+impl From<rusqlite::Error> for StoreError {
+    fn from(error: rusqlite::Error) -> Self {
+        StoreError::Database(error.to_string())
+    }
+}
+
+impl From<tokio_postgres::Error> for StoreError {
+    fn from(error: tokio_postgres::Error) -> Self {
+        let detail = error.as_db_error().map(|detail| format!(": {}", detail.message()));
+        StoreError::Database(format!("{error}{}", detail.unwrap_or_default()))
+    }
+}
+
+impl Engine {
+    async fn client(&mut self) -> Result<(), StoreError> {
+        let Engine::Postgres { address, client } = self else { return Ok(()) };
+        if client.as_ref().is_none_or(|client| client.is_closed()) {
+            let (new, connection) = tokio_postgres::connect(address, tokio_postgres::NoTls).await?;
+            tokio::spawn(async move {
+                if let Err(error) = connection.await {
+                    eprintln!("tulipfall: store: {error}");
+                }
+            });
+            // Literals are written by the standard's rules.
+            new.batch_execute("SET standard_conforming_strings = on").await?;
+            *client = Some(new);
+        }
+        Ok(())
+    }
+
+    async fn execute(&mut self, sql: &str) -> Result<(), StoreError> {
+        self.client().await?;
+        match self {
+            Engine::Sqlite(connection) => Ok(connection.execute_batch(sql)?),
+            Engine::Postgres { client: Some(client), .. } => Ok(client.batch_execute(sql).await?),
+            Engine::Postgres { .. } => Err(StoreError::Database("not connected".into())),
+        }
+    }
+
+    /// Rows of sequence numbers and records.
+    async fn rows(&mut self, sql: &str) -> Result<Vec<(String, String)>, StoreError> {
+        self.client().await?;
+        match self {
+            Engine::Sqlite(connection) => {
+                let mut statement = connection.prepare(sql)?;
+                let rows =
+                    statement.query_map([], |row| Ok((row.get::<_, i64>(0)?.to_string(), row.get(1)?)))?;
+                Ok(rows.collect::<Result<_, _>>()?)
+            }
+            Engine::Postgres { client: Some(client), .. } => {
+                let mut rows = Vec::new();
+                for message in client.simple_query(sql).await? {
+                    if let tokio_postgres::SimpleQueryMessage::Row(row) = message {
+                        let text = |i| row.try_get(i).map(|text| text.unwrap_or_default().to_string());
+                        rows.push((text(0)?, text(1)?));
+                    }
+                }
+                Ok(rows)
+            }
+            Engine::Postgres { .. } => Err(StoreError::Database("not connected".into())),
+        }
+    }
+}
+
+impl Database {
+    /// Opens an SQLite file, for one process alone, and replays it.
+    ///
+    /// # Errors
+    /// Where the file cannot be used or a record is damaged.
+    pub async fn sqlite(
+        file: &Path, relay: &str, limit: u64, keep: Micros, now: Micros,
+    ) -> Result<(Self, Replay), StoreError> {
+        let connection = rusqlite::Connection::open(file)?;
+        // Guards against two processes sending the same messages.
+        connection.execute_batch("PRAGMA locking_mode = EXCLUSIVE; PRAGMA synchronous = NORMAL;")?;
+        Self::open(Engine::Sqlite(connection), relay, Some(limit / 2), keep, now).await
+    }
+
+    /// Connects to a PostgreSQL server and replays what this relay's rows hold.
+    ///
+    /// # Errors
+    /// Where the server cannot be used or a record is damaged.
+    pub async fn postgres(
+        address: &str, relay: &str, keep: Micros, now: Micros,
+    ) -> Result<(Self, Replay), StoreError> {
+        let engine = Engine::Postgres { address: address.into(), client: None };
+        Self::open(engine, relay, None, keep, now).await
+    }
+
+    async fn open(
+        engine: Engine, relay: &str, limit: Option<u64>, keep: Micros, now: Micros,
+    ) -> Result<(Self, Replay), StoreError> {
+        let (book, relay) = (Book::default(), quote(relay));
+        let mut database = Database { engine, relay, limit, keep, prune_at: now, book, seq: 0 };
+        database.engine.execute(TABLE).await?;
+        let relay = &database.relay;
+        let unfinished = format!(
+            "SELECT seq, record FROM tulipfall_records WHERE relay = {relay} AND finished = 0 ORDER BY seq"
+        );
+        let last =
+            format!("SELECT COALESCE(MAX(seq), 0), 'last' FROM tulipfall_records WHERE relay = {relay}");
+        for (seq, text) in database.engine.rows(&unfinished).await? {
+            let record = unhex(&text).and_then(|bytes| decode(&bytes));
+            let at = seq.parse().unwrap_or_default();
+            let record = record.ok_or(StoreError::Damaged { file: "tulipfall_records".into(), at })?;
+            database.book.apply(&record, 0, 0, |_, _| ());
+        }
+        database.book.forget_receipts(now, |_, _| ());
+        let last = database.engine.rows(&last).await?;
+        database.seq = last.first().and_then(|(seq, _)| seq.parse().ok()).unwrap_or(0);
+        let replay = database.book.replay();
+        Ok((database, replay))
+    }
+
+    /// Whether a message with so many bytes can be taken on.
+    pub fn room(&self, bytes: usize) -> bool {
+        let Engine::Sqlite(connection) = &self.engine else { return true };
+        let count = |name| connection.pragma_query_value(None, name, |row| row.get::<_, i64>(0)).unwrap_or(0);
+        let used = (count("page_count") - count("freelist_count")) * count("page_size");
+        // Hexadecimal text takes twice the room.
+        let need = 2 * bytes as u64 + (self.book.unfinished() + 1) * 4 * TO_END;
+        self.limit.is_none_or(|limit| used as u64 + need <= limit)
+    }
+
+    /// Writes records, all or none.
+    ///
+    /// # Errors
+    /// Where the database does not take them.
+    pub async fn append(&mut self, now: Micros, records: &[Record]) -> Result<(), StoreError> {
+        use std::fmt::Write as _;
+        let relay = &self.relay;
+        let mut sql = String::from("BEGIN;");
+        for (seq, record) in (self.seq + 1..).zip(records) {
+            let mut bytes = Vec::new();
+            encode(record, &mut bytes);
+            let (message, kind) = record.label();
+            let message = quote(message);
+            // A write whose answer was lost may come again: the same row is then left as it is.
+            let _ = write!(
+                sql,
+                "INSERT INTO tulipfall_records VALUES ({relay}, {seq}, {message}, '{kind}', {now}, 0, '{}') \
+                 ON CONFLICT (relay, seq) DO NOTHING;",
+                hex(&bytes)
+            );
+            if record.finishes() {
+                let _ = write!(
+                    sql,
+                    "UPDATE tulipfall_records SET finished = 1 WHERE relay = {relay} AND message = {message};"
+                );
+            }
+        }
+        if now >= self.prune_at {
+            let before = now - self.keep;
+            let _ = write!(
+                sql,
+                "DELETE FROM tulipfall_records WHERE relay = {relay} AND at < {before} \
+                 AND (finished = 1 OR kind = 'receipt');"
+            );
+            self.prune_at = now + self.keep / 16;
+        }
+        sql.push_str("COMMIT;");
+        let mut tries = 0;
+        while let Err(error) = self.engine.execute(&sql).await {
+            tries += 1;
+            match &mut self.engine {
+                Engine::Postgres { client, .. } if tries < TRIES => *client = None,
+                _ => return Err(error),
+            }
+        }
+        self.seq += records.len() as u64;
+        records.iter().for_each(|record| self.book.apply(record, 0, 0, |_, _| ()));
+        self.book.forget_receipts(now, |_, _| ());
+        Ok(())
+    }
+}
+
 /// The store of record.
-#[derive(Debug)]
 pub enum Store {
     /// The journal file.
     Journal(Journal),
+    /// A database.
+    Database(Box<Database>),
 }
 
 impl Store {
-    /// Whether a message with such a body can be taken on.
-    pub fn room(&self, body: usize) -> bool {
+    /// Whether a message with so many bytes can be taken on.
+    pub fn room(&self, bytes: usize) -> bool {
         match self {
-            Store::Journal(journal) => journal.room(body),
+            Store::Journal(journal) => journal.room(bytes),
+            Store::Database(database) => database.room(bytes),
         }
     }
 
@@ -525,9 +840,10 @@
     ///
     /// # Errors
     /// Where nothing could be written.
-    pub async fn append(&mut self, records: &[Record]) -> Result<(), StoreError> {
+    pub async fn append(&mut self, now: Micros, records: &[Record]) -> Result<(), StoreError> {
         match self {
-            Store::Journal(journal) => journal.append(records),
+            Store::Journal(journal) => journal.append(now, records),
+            Store::Database(database) => database.append(now, records).await,
         }
     }
 }
