Test the relay over sockets, its stores and its recovery; answer all before an exit

Seen: a request read in the last moment before an exit could lose its answer with the process, and a whole list asked for while discovery is down was waited for as long as a watch. Cause: main returned as soon as the runtime did; one deadline served both calls. Now the last answers are waited for, and the list asked for anew after 2 s. Ruled out: flaking: the exchanges played three times with the same verdict.

--- a/src/main.rs
+++ b/src/main.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -24,6 +24,8 @@
 
 /// After a signal to stop, the last call must have ended within this; the platform kills after 3.7 s.
 const STOP_WITHIN: Micros = 2_500_000;
+/// Then the last answers are written within this.
+const ANSWER_WITHIN: Micros = 200_000;
 /// Inputs on their way to the runtime.
 const INPUTS: usize = 1024;
 const USAGE: &str = "usage: tulipfall                        one relay; PROXY_CONFIG names its configuration
@@ -111,7 +113,8 @@
     let (stop, stopping) = watch::channel(false);
     let front = |front| {
         let (inputs, stopping) = (inputs.clone(), stopping.clone());
-        Arc::new(Inbound { clock, front, inputs, ready: AtomicBool::new(false), stopping })
+        let (busy, ready) = (AtomicUsize::new(0), AtomicBool::new(false));
+        Arc::new(Inbound { clock, front, inputs, busy, ready, stopping })
     };
     // Half of the descriptors for clients; the rest for endpoints, idle connections, files and the agent.
     let most_clients = config.limits.sockets / 2;
@@ -144,10 +147,12 @@
     }
     let address = config.notices.map(|address| address.to_string().into());
     tokio::spawn(discovery::notify(clock, address, owed, inputs.clone()));
+    let mut fronts = vec![platform.clone()];
     if let Some((address, as2)) = as2 {
         let as2 = front(Front::As2(as2));
         as2.ready.store(true, Ordering::Relaxed);
-        tokio::spawn(serve(listen(address).await?, as2, most_clients / 2));
+        tokio::spawn(serve(listen(address).await?, as2.clone(), most_clients / 4));
+        fronts.push(as2);
     }
     tokio::spawn(async move {
         loop {
@@ -168,6 +173,9 @@
     platform.ready.store(true, Ordering::Relaxed);
     eprintln!("tulipfall: {} ready, {messages} messages and {pending} notices taken on again", config.name);
     runtime.run(received).await?;
+    for front in fronts {
+        front.answered(clock.now() + ANSWER_WITHIN).await;
+    }
     Ok(())
 }
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -92,7 +92,9 @@
             false => format!("/registry/instances?index={revision}&wait={WATCH_MS}"),
         };
         let request = Message::request("GET", &path).with("Host", &*address);
-        let by = clock.now() + WATCH_MS * 1000 + SILENCE;
+        // A whole list comes at once or, while discovery is down, not at all: it is then asked for anew.
+        let wait = if gap { 0 } else { WATCH_MS * 1000 };
+        let by = clock.now() + wait + SILENCE;
         let answer = ask(clock, &address, &mut kept, &request, by).await;
         let answer = answer.filter(|answer| answer.start == Start::Response(200));
         let read = answer.map(|a| serde_json::from_slice::<Value>(&a.body).map_err(|e| e.to_string()));
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -2,7 +2,7 @@
 //! listening socket and every client connection. It must never choose an endpoint or hold a message back.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
 use futures_util::{SinkExt, StreamExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -46,6 +46,8 @@
     pub front: Front,
     /// To the runtime.
     pub inputs: mpsc::Sender<Input>,
+    /// Requests that were read and not answered yet.
+    pub busy: AtomicUsize,
     /// Set once the store has been replayed.
     pub ready: AtomicBool,
     /// True once the process is to stop: answers then end their connections.
@@ -74,6 +76,16 @@
     }
 }
 
+impl Inbound {
+    /// Waits until every request that was read has its answer, or until `by`. It guards the answers against
+    /// the end of the process.
+    pub async fn answered(&self, by: Micros) {
+        while self.busy.load(Ordering::Relaxed) > 0 && self.clock.now() < by {
+            tokio::time::sleep_until(self.clock.instant(self.clock.now() + 1000)).await;
+        }
+    }
+}
+
 async fn connection(stream: TcpStream, inbound: &Inbound) {
     let _ = stream.set_nodelay(true);
     let most = if matches!(inbound.front, Front::As2(_)) { MOST_MESSAGE } else { MOST_BODY };
@@ -96,13 +108,16 @@
             }
             Some(Ok(request)) => {
                 let keep_alive = request.keep_alive;
+                inbound.busy.fetch_add(1, Ordering::Relaxed);
                 let (mut answer, taken) = route(request, inbound).await;
                 answer.keep_alive &= keep_alive;
                 (answer, taken)
             }
         };
         answer.keep_alive &= !*stopping.borrow_and_update();
-        if framed.send(&answer).await.is_err() {
+        let sent = framed.send(&answer).await;
+        inbound.busy.fetch_sub(1, Ordering::Relaxed);
+        if sent.is_err() {
             if let Some(id) = taken {
                 let _ = inbound.inputs.send(Input::Withdrawn(id)).await;
             }
--- /dev/null
+++ b/tests/recovery.rs
@@ -0,0 +1,63 @@
+//! What the module does with messages of an earlier process, and in a process that is to end.
+
+mod rig;
+use rig::*;
+use tulipfall::interface::*;
+
+fn resumed(rig: &mut Rig, id: u64, class: usize, attempts: u32, may_have_run: bool) -> Vec<Action> {
+    let due = rig.now + 5 * S;
+    let destination = DestinationId(1);
+    let arrival = Arrival { id: MessageId(id), class, tenant: None, key: None, due, destination };
+    rig.event(Event::Resumed { arrival, attempts, may_have_run })
+}
+
+#[test]
+fn what_may_have_run_is_sent_again_only_where_its_class_allows() {
+    let mut rig = Rig::two();
+    assert_eq!(sent(&resumed(&mut rig, 1, SAFE, 1, true)), [1]);
+    let once = resumed(&mut rig, 2, UNSAFE, 1, true);
+    assert_eq!((sent(&once), ended(&once)), (vec![], vec![(2, false)]), "failed, not refused");
+    assert_eq!(sent(&resumed(&mut rig, 3, UNSAFE, 1, false)), [3], "it never ran");
+    let keyed = resumed(&mut rig, 4, KEYED, 1, true);
+    assert_eq!(sent(&keyed), [] as [u64; 0], "nobody knows any more how long ago it ran");
+}
+
+#[test]
+fn attempts_of_an_earlier_process_count() {
+    let mut rig = Rig::two();
+    let spent = resumed(&mut rig, 1, SAFE, 6, true);
+    assert_eq!((sent(&spent), ended(&spent)), (vec![], vec![(1, true)]));
+    assert_eq!(sent(&resumed(&mut rig, 2, SAFE, 5, false)), [2]);
+    let last = rig.done(2, 1, Outcome::ConnectFailed);
+    assert_eq!((sent(&last), ended(&last)), (vec![], vec![(2, true)]), "that was the sixth");
+}
+
+#[test]
+fn what_is_resumed_keeps_its_due_time() {
+    let mut rig = Rig::new(settings());
+    resumed(&mut rig, 1, SAFE, 0, false);
+    assert_eq!(ended(&only(rig.pass(5 * S - 1))), [], "no endpoint is listed: it waits");
+    assert_eq!(ended(&only(rig.pass(1))), [(1, true)]);
+}
+
+#[test]
+fn a_stopping_process_starts_nothing_that_cannot_end_and_ends_what_it_holds() {
+    let mut rig = Rig::two();
+    rig.arrive(1, SAFE, 1);
+    rig.now += MS;
+    rig.done(1, 1, Outcome::Full(Some(10 * S)));
+    rig.arrive(2, UNSAFE, 2);
+    let until = rig.now + 2 * S;
+    let held = rig.event(Event::Stop(until));
+    assert_eq!(ended(&held), [(1, true)], "its wait outlasts the process: handed back at once");
+    let started = rig.arrive(3, UNSAFE, 2);
+    let timeouts = started.iter().filter_map(|action| match action {
+        Action::Send { timeout, .. } => Some(*timeout),
+        _ => None,
+    });
+    assert_eq!(timeouts.collect::<Vec<_>>(), [2 * S], "no call outlasts the process");
+    rig.now = until - 300 * MS;
+    let late = rig.arrive(4, SAFE, 2);
+    assert_eq!((sent(&late), ended(&late)), (vec![], vec![(4, true)]));
+    assert_eq!(ended(&rig.done(3, 2, Outcome::ConnectFailed)), [(3, true)]);
+}
--- /dev/null
+++ b/tests/relay.rs
@@ -0,0 +1,270 @@
+//! Recorded byte exchanges, played against the program: each file under tests/exchanges/ is a script, and what
+//! the program did is compared with its snapshot. A script's lines:
+//!
+//!     start KEY=VALUE ..      starts the program, with limits.disk_mb, slots or open_cap as given
+//!     kill | terminate | ends SIGKILL; SIGTERM; waits for its end, which must be a good one
+//!     client N hands ID CLASS DEST LEFT_MS BODY    hands a message in; BODY *N is N bytes
+//!     client N sends TEXT     raw bytes; \r \n as written
+//!     client N hears          notes the answer
+//!     endpoint N accepts | hears | answers TEXT | closes    a call's connection, in the order accepted
+//!     agent lists TEXT | hears_watch | answers_watch TEXT | hears_notice      discovery and notices
+//!
+//! A step that does not come true fails at one far deadline; nothing sleeps.
+
+mod stand;
+
+use std::collections::HashMap;
+use std::io::Write;
+use std::net::{TcpListener, TcpStream};
+use std::sync::mpsc;
+
+use stand::*;
+
+/// The agent: watches and notices come on connections of their own, in any order.
+struct Agent {
+    address: String,
+    watches: mpsc::Receiver<(Heard, TcpStream)>,
+    notices: mpsc::Receiver<(Heard, TcpStream)>,
+}
+
+impl Agent {
+    fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a socket");
+        let address = listener.local_addr().expect("an address").to_string();
+        let ((watch, watches), (notice, notices)) = (mpsc::channel(), mpsc::channel());
+        std::thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let (watch, notice) = (watch.clone(), notice.clone());
+                std::thread::spawn(move || {
+                    while let Some(heard) = hear(&mut stream) {
+                        let Ok(back) = stream.try_clone() else { return };
+                        let to = if heard.head.starts_with("GET") { &watch } else { &notice };
+                        let _ = to.send((heard, back));
+                    }
+                });
+            }
+        });
+        Agent { address, watches, notices }
+    }
+}
+
+struct Play {
+    folder: std::path::PathBuf,
+    program: Option<Program>,
+    clients: HashMap<String, TcpStream>,
+    endpoints: Vec<TcpListener>,
+    calls: HashMap<String, Vec<TcpStream>>,
+    agent: Agent,
+    watch: Option<TcpStream>,
+    listen: String,
+    transcript: String,
+}
+
+/// Two classes, one tenant, destinations 0 and 1; the figures of the deployment where they matter.
+fn configuration(play: &Play, options: &HashMap<&str, &str>) -> String {
+    let number = |key: &str, default: f64| options.get(key).and_then(|n| n.parse().ok()).unwrap_or(default);
+    let members: Vec<serde_json::Value> = play
+        .endpoints
+        .iter()
+        .enumerate()
+        .map(|(cell, endpoint)| {
+            serde_json::json!({"id": format!("s-{cell}"), "locality": "a", "flavor": "house", "cell": cell,
+                "host_port": endpoint.local_addr().expect("an address").to_string(), "phase": "Ready",
+                "size": 4.0, "up_since_ms": 0})
+        })
+        .collect();
+    let class = |name: &str, effect: &str, worth: f64| {
+        serde_json::json!({"Name": name, "Idempotency": effect, "AimUs": 2_000_000, "DeadlineUs": 16_000_000,
+            "Value": worth, "LateWorth": 0.3})
+    };
+    serde_json::json!({
+        "name": "n0", "seed": "8c1f30d27a5be964",
+        "limits": {"sockets": 128, "disk_mb": number("disk_mb", 3.0)},
+        "known": {"revision": 41, "complete": true, "members": members},
+        "settings": {
+            "Classes": [class("status-update", "idempotent", 1.0), class("paid-extra", "at_most_once", 3.0)],
+            "Tenants": [{"Name": "desk", "QuotaPerS": 9.0}],
+            "HostTypes": ["house"], "Zones": ["a"], "Weights": "nominal", "PeersTotal": 1,
+            "Domain": {"MaxCalls": number("slots", 8.0) as i64, "Late": "by_half"},
+            "Limits": {"OpenCap": number("open_cap", 200.0) as i64, "MaxAttempts": 12,
+                "ConnectTimeoutUs": 1_000_000, "ConnIdleUs": 15_000_000, "Cancel": true},
+            "Rules": {"ColdFrom": 0.16, "ColdUs": 10_000_000, "FallMultiple": 2.0,
+                "OverloadForUs": 2_000_000, "StopSendingWithinUs": 1_000_000}
+        }
+    })
+    .to_string()
+}
+
+fn bytes(text: &str) -> Vec<u8> {
+    text.replace("\\r", "\r").replace("\\n", "\n").into_bytes()
+}
+
+impl Play {
+    fn new(name: &str) -> Self {
+        let listeners = (0..2).map(|_| TcpListener::bind("127.0.0.1:0").expect("a socket"));
+        Play {
+            folder: folder(name),
+            program: None,
+            clients: HashMap::new(),
+            endpoints: listeners.collect(),
+            calls: HashMap::new(),
+            agent: Agent::new(),
+            watch: None,
+            listen: "127.0.0.1:0".into(),
+            transcript: String::new(),
+        }
+    }
+
+    fn note(&mut self, who: &str, heard: Option<Heard>) {
+        let Some(heard) = heard else {
+            self.transcript.push_str(&format!("{who}: the connection ended\n"));
+            return;
+        };
+        self.transcript.push_str(&format!("{who}:\n"));
+        for line in heard.head.lines().filter(|line| !line.is_empty()) {
+            // What differs from run to run: ports, and times that count down.
+            let line = match line.split_once(": ") {
+                Some(("Host", _)) => "Host: HOST".to_string(),
+                Some(("X-Time-Left", _)) => "X-Time-Left: LEFT".to_string(),
+                _ => line.to_string(),
+            };
+            self.transcript.push_str(&format!("    {line}\n"));
+        }
+        if heard.body.len() > 200 {
+            self.transcript.push_str(&format!("    ({} bytes)\n", heard.body.len()));
+        } else if !heard.body.is_empty() {
+            self.transcript.push_str(&format!("    {}\n", String::from_utf8_lossy(&heard.body).trim_end()));
+        }
+    }
+
+    fn client(&mut self, name: &str) -> &mut TcpStream {
+        let listen = self.listen.clone();
+        self.clients.entry(name.to_string()).or_insert_with(|| connect(&listen))
+    }
+
+    fn call(&mut self, name: &str) -> &mut TcpStream {
+        self.calls.get_mut(name).and_then(|calls| calls.last_mut()).expect("a call")
+    }
+
+    fn step(&mut self, line: &str) {
+        let mut words = line.splitn(4, ' ');
+        let (verb, name) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
+        let (what, rest) = (words.next().unwrap_or_default(), words.next().unwrap_or_default());
+        match (verb, what) {
+            ("start", _) => {
+                let options = line.split(' ').filter_map(|word| word.split_once('=')).collect();
+                let file = self.folder.join("config.json");
+                std::fs::write(&file, configuration(self, &options)).expect("a file");
+                let state = self.folder.join("state");
+                let text = |path: &std::path::Path| path.display().to_string();
+                let program = Program::start(
+                    &[],
+                    &[
+                        ("PROXY_CONFIG", &text(&file)),
+                        ("PROXY_LISTEN", &self.listen),
+                        ("PROXY_DISCOVERY", &self.agent.address),
+                        ("PROXY_STATE", &text(&state)),
+                    ],
+                    1,
+                );
+                self.listen = program.addresses[0].clone();
+                self.clients.clear();
+                self.program = Some(program);
+            }
+            ("kill", _) => self.program.as_mut().expect("a program").kill(),
+            ("terminate", _) => self.program.as_ref().expect("a program").terminate(),
+            ("ends", _) => {
+                assert!(self.program.as_mut().expect("a program").ended_well(), "a good end");
+                self.transcript.push_str("the program ended well\n");
+            }
+            ("client", "hands") => {
+                let parts: Vec<&str> = rest.splitn(5, ' ').collect();
+                let [id, class, dest, left, body] = parts[..] else { panic!("{line}") };
+                let body = match body.strip_prefix('*').and_then(|n| n.parse().ok()) {
+                    Some(n) => vec![b'x'; n],
+                    None => body.as_bytes().to_vec(),
+                };
+                let dest = dest.parse().expect("a number");
+                let message = handed_in(class, id, dest, left.parse().expect("a number"), &body);
+                self.client(name).write_all(&message).expect("written");
+            }
+            ("client", "sends") => self.client(name).write_all(&bytes(rest)).expect("written"),
+            ("client", "hears") => {
+                let heard = hear(self.client(name));
+                self.note(&format!("client {name} hears"), heard);
+            }
+            ("endpoint", "accepts") => {
+                let stream = accept(&self.endpoints[name.parse::<usize>().expect("a number")]);
+                self.calls.entry(name.to_string()).or_default().push(stream);
+            }
+            ("endpoint", "hears") => {
+                let heard = hear(self.call(name));
+                self.note(&format!("endpoint {name} hears"), heard);
+            }
+            ("endpoint", "answers") => self.call(name).write_all(&bytes(rest)).expect("written"),
+            ("endpoint", "closes") => drop(self.calls.get_mut(name).and_then(Vec::pop)),
+            ("agent", _) => self.agent_step(name, &[what, rest].join(" ")),
+            _ => panic!("no such step: {line}"),
+        }
+    }
+
+    fn agent_step(&mut self, what: &str, text: &str) {
+        match what {
+            "hears_watch" => {
+                let (heard, stream) = self.agent.watches.recv_timeout(FAR).expect("a watch");
+                self.note("agent hears", Some(heard));
+                self.watch = Some(stream);
+            }
+            "answers_watch" => {
+                let text = text.trim();
+                let address = self.endpoints[0].local_addr().expect("an address").to_string();
+                let body = text.replace("ADDRESS", &address);
+                let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+                let stream = self.watch.as_mut().expect("a watch");
+                stream.write_all(&[head.as_bytes(), body.as_bytes()].concat()).expect("written");
+            }
+            "hears_notice" => {
+                let (heard, mut stream) = self.agent.notices.recv_timeout(FAR).expect("a notice");
+                self.note("agent hears", Some(heard));
+                stream.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").expect("written");
+            }
+            "hears_notice_and_says_nothing" => {
+                let (heard, _) = self.agent.notices.recv_timeout(FAR).expect("a notice");
+                self.note("agent hears, and does not answer", Some(heard));
+            }
+            other => panic!("no such step: agent {other}"),
+        }
+    }
+}
+
+fn play(name: &str, script: &str) {
+    let mut play = Play::new(name);
+    for line in script.lines().map(str::trim).filter(|line| !line.is_empty() && !line.starts_with('#')) {
+        play.transcript.push_str(&format!("> {line}\n"));
+        play.step(line);
+    }
+    insta::with_settings!({prepend_module_to_snapshot => false, omit_expression => true}, {
+        insta::assert_snapshot!(name, play.transcript);
+    });
+}
+
+macro_rules! plays {
+    ($($name:ident)*) => {
+        $(#[test]
+        fn $name() {
+            play(stringify!($name), include_str!(concat!("exchanges/", stringify!($name), ".txt")));
+        })*
+    };
+}
+
+plays! {
+    delivered_and_turned_away
+    bad_input
+    killed_with_a_call_out
+    killed_while_a_notice_is_owed
+    silent_endpoint
+    stopped
+    disk_full
+    drained
+    waits_are_kept
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -22,6 +22,7 @@
 /// The program, killed when it is dropped.
 pub struct Program {
     child: Child,
+    log: std::sync::mpsc::Receiver<String>,
     /// What it listens on, in the order opened.
     pub addresses: Vec<String>,
 }
@@ -42,8 +43,9 @@
             ready |= line.contains(" ready, ");
         }
         // Its log is read on, so that it never waits for a reader.
-        std::thread::spawn(move || lines.for_each(drop));
-        Program { child, addresses }
+        let (line, log) = std::sync::mpsc::channel();
+        std::thread::spawn(move || lines.map_while(Result::ok).for_each(|text| drop(line.send(text))));
+        Program { child, log, addresses }
     }
 
     /// SIGKILL.
@@ -52,10 +54,11 @@
         let _ = self.child.wait();
     }
 
-    /// SIGTERM.
+    /// SIGTERM; waits until the program has heard it.
     pub fn terminate(&self) {
         let id = self.child.id().to_string();
         Command::new("kill").args(["-TERM", &id]).status().expect("kill runs");
+        while !self.log.recv_timeout(FAR).expect("it hears the signal").contains("stopping") {}
     }
 
     /// Whether it ended well, once it has ended.
