--- /dev/null
+++ b/example/toy_server.rs
@@ -0,0 +1,58 @@
+//! A toy endpoint for trying the relay: it prints what it gets and does what the body's first word says. It
+//! also takes the relay's notices. It must never be mistaken for a server: one thread a connection, no limits.
+
+use std::collections::HashSet;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, PoisonError};
+
+type Seen = Arc<Mutex<HashSet<String>>>;
+
+fn main() -> std::io::Result<()> {
+    let address = std::env::args().nth(1).unwrap_or_else(|| "127.0.0.1:9100".into());
+    let listener = TcpListener::bind(&address)?;
+    println!("toy server on {address}");
+    let seen = Seen::default();
+    for stream in listener.incoming() {
+        let (stream, seen) = (stream?, seen.clone());
+        std::thread::spawn(move || connection(stream, &seen));
+    }
+    Ok(())
+}
+
+fn connection(mut stream: TcpStream, seen: &Seen) -> std::io::Result<()> {
+    let mut reader = BufReader::new(stream.try_clone()?);
+    loop {
+        let (mut first, mut id, mut length) = (String::new(), String::new(), 0);
+        if reader.read_line(&mut first)? == 0 {
+            return Ok(());
+        }
+        loop {
+            let mut line = String::new();
+            reader.read_line(&mut line)?;
+            match line.trim().split_once(": ") {
+                Some(("X-Correlation-Id", value)) => id = value.to_string(),
+                Some(("Content-Length", value)) => length = value.parse().unwrap_or(0),
+                Some(_) => {}
+                None => break,
+            }
+        }
+        let mut body = vec![0; length];
+        reader.read_exact(&mut body)?;
+        let body = String::from_utf8_lossy(&body);
+        println!("{} {id} {}", first.trim(), body.trim());
+        let new = seen.lock().unwrap_or_else(PoisonError::into_inner).insert(id);
+        let answer = match body.split_whitespace().next() {
+            _ if first.contains("/reports") => "204 No Content\r\n",
+            Some("full") if new => "503 Full\r\nContent-Length: 0\r\n",
+            Some("wait") if new => "429 Wait\r\nRetry-After: 3\r\nContent-Length: 0\r\n",
+            Some("error") => "500 Error\r\nContent-Length: 0\r\n",
+            Some("silent") => {
+                std::io::copy(&mut reader, &mut std::io::sink())?;
+                return Ok(());
+            }
+            _ => "200 OK\r\nContent-Length: 0\r\n",
+        };
+        stream.write_all(format!("HTTP/1.1 {answer}\r\n").as_bytes())?;
+    }
+}
--- a/src/as2.rs
+++ b/src/as2.rs
@@ -26,6 +26,8 @@
 
 /// An AS2 message may have so many bytes: a body, its signature and the frame around both.
 pub const MOST_MESSAGE: usize = 4 * MOST_BODY;
+/// So many receipts are remembered at once, in some 80 MB.
+const MOST_RECEIPTS: usize = 32_768;
 /// An asynchronous receipt is posted so often; after that the partner's own resend brings it again.
 const RECEIPT_POSTS: usize = 3;
 /// What may be out of a post's time for a receipt.
@@ -468,6 +470,11 @@
                 drop(books);
                 return self.deliver(partner, id, &receipt, request);
             }
+            // Forgetting one early could let a duplicate through, so that new messages wait for room instead.
+            if books.given.len() + books.busy.len() >= MOST_RECEIPTS {
+                let why = "as many receipts remembered as may be";
+                return Ok(Message::response(503, why).with("Retry-After", "60"));
+            }
             // The same message is being taken on just now: its receipt is not stored yet.
             if !books.busy.insert(key.clone()) {
                 return Ok(Message::response(503, "being taken on").with("Retry-After", "1"));
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -17,7 +17,7 @@
 /// A body may have so many bytes.
 pub const MOST_BODY: usize = 64 * 1024;
 /// An id may have so many bytes.
-const MOST_ID: usize = 128;
+const MOST_ID: usize = 64;
 /// A connection on which nothing came for so long is closed.
 const IDLE: Micros = 90_000_000;
 
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -10,7 +10,7 @@
 use crate::exchange::{Answer, CallEnd, Clock, Exchange, Input, Member, Notice, OutboundCall};
 use crate::interface::*;
 use crate::rules::Relay;
-use crate::store::{Receipt, Record, Replay, Store, StoreError, Stored};
+use crate::store::{Receipt, Record, Replay, Store, StoreError, Stored, TO_END};
 use crate::wire::Names;
 
 /// Inputs taken together, with one write to the store.
@@ -61,6 +61,8 @@
     destinations: HashSet<i64>,
     timers: BTreeSet<(Micros, u64)>,
     records: Vec<Record>,
+    /// Bytes that these records take on.
+    unwritten: usize,
     effects: Vec<Effect>,
     /// Notices sent and not acknowledged.
     owed: HashSet<String>,
@@ -89,6 +91,7 @@
             destinations: HashSet::new(),
             timers: BTreeSet::new(),
             records: Vec::new(),
+            unwritten: 0,
             effects: Vec::new(),
             owed: HashSet::new(),
             stop: None,
@@ -167,7 +170,8 @@
             Input::Ended(end) => self.ended(end),
             Input::Listed(form, members) => self.listed(form, members),
             // Nothing rests on one that finds no room: what was answered stays as it is in any case.
-            Input::Receipt(receipt) if self.store.room(receipt.bytes.len()) => {
+            Input::Receipt(receipt) if self.store.room(self.unwritten + receipt.bytes.len()) => {
+                self.unwritten += receipt.bytes.len();
                 self.records.push(Record::Receipt(receipt));
             }
             Input::Receipt(receipt) => eprintln!("tulipfall: no room to record {:?}", receipt.key),
@@ -186,14 +190,16 @@
 
     /// Guards memory, disk and the module against what they cannot hold, before anything is promised.
     fn handed(&mut self, exchange: Arc<Exchange>, receipt: Option<Receipt>, reply: oneshot::Sender<Answer>) {
+        // What the batch has taken on so far is not in the store yet, and counts all the same.
         let bytes = exchange.body.len() + receipt.as_ref().map_or(0, |receipt| receipt.bytes.len());
+        let bytes = bytes + TO_END as usize;
         let refusal = if self.ids.contains_key(&exchange.id) {
             Some(Answer::Taken)
         } else if !self.destinations.contains(&exchange.destination) {
             Some(Answer::Refused("unknown dest", None))
         } else if self.held.len() >= self.max_held {
             Some(Answer::Refused("as many messages held as may be", None))
-        } else if !self.store.room(bytes) {
+        } else if !self.store.room(self.unwritten + bytes) {
             Some(Answer::Refused("no room on the disk", None))
         } else {
             None
@@ -232,6 +238,7 @@
                 may_have_run: false,
             }));
             self.records.extend(receipt.map(Record::Receipt));
+            self.unwritten += bytes;
         } else {
             self.forget(id);
         }
@@ -359,6 +366,7 @@
         if !self.records.is_empty() {
             self.store.append(self.clock.now(), &self.records).await?;
             self.records.clear();
+            self.unwritten = 0;
         }
         for effect in std::mem::take(&mut self.effects) {
             match effect {
--- a/src/store.rs
+++ b/src/store.rs
@@ -245,7 +245,21 @@
         self.live.values().filter(|live| live.receipt.is_none()).count() as u64
     }
 
-    /// The record from which a message's state can be rebuilt.
+    /// The records from which a message's state can be rebuilt while it goes on.
+    fn noted_again(live: &Live) -> Vec<Record> {
+        match &live.message {
+            // An attempt that is out stays one: its outcome may still tell that it never ran.
+            Some(message) => {
+                let attempt = message.attempts.saturating_sub(1);
+                let started = Record::Started { id: message.id.clone(), attempt };
+                let taken = Record::Taken(message.clone());
+                std::iter::once(taken).chain(live.open.then_some(started)).collect()
+            }
+            None => Self::state(live).into_iter().collect(),
+        }
+    }
+
+    /// What a start finds of a message.
     fn state(live: &Live) -> Option<Record> {
         if let Some(notice) = &live.notice {
             return Some(Record::Ended { id: notice.id.clone(), notice: Some(notice.clone()) });
@@ -404,8 +418,9 @@
 const SEGMENT: u64 = 128 * 1024;
 /// Files are counted in whole blocks.
 const BLOCK: u64 = 512;
-/// Kept free for each message held, so that its attempts, its end and its acknowledgement can be recorded.
-const TO_END: u64 = 1024;
+/// Kept free for each message held, so that its attempts, its end and its acknowledgement can be recorded:
+/// twelve starts and outcomes, and two more records, each with an id of at most 64 bytes.
+pub const TO_END: u64 = 2304;
 /// Kept free for noting again what is live in the oldest segment: its size, a record over that, and blocks.
 const TO_COMPACT: u64 = 2 * SEGMENT;
 
@@ -510,9 +525,9 @@
         self.segments.iter().map(|segment| blocks(segment.bytes)).sum()
     }
 
-    /// Whether a message with such a body can be taken on, with room left to record its end.
-    pub fn room(&self, body: usize) -> bool {
-        let need = body as u64 + TO_END;
+    /// Whether a message with so many bytes can be taken on, with room left to record its end.
+    pub fn room(&self, bytes: usize) -> bool {
+        let need = bytes as u64;
         self.used() + need + (self.book.unfinished() + 1) * TO_END + TO_COMPACT <= self.limit
     }
 
@@ -588,7 +603,7 @@
             let number = oldest.number;
             let mut moving: Vec<&Live> = self.book.live.values().filter(|l| l.segment == number).collect();
             moving.sort_by_key(|live| live.seq);
-            let states: Vec<Record> = moving.into_iter().filter_map(Book::state).collect();
+            let states: Vec<Record> = moving.into_iter().flat_map(Book::noted_again).collect();
             // Without room it waits until more is over; TO_COMPACT is kept free so that this is rare.
             if matches!(self.write(&states), Err(StoreError::Full { .. })) {
                 return Ok(());
--- a/tests/as2.rs
+++ b/tests/as2.rs
@@ -216,7 +216,9 @@
 }
 
 /// An operator's file with one payment house behind two destinations, and a desk that speaks AS2.
-fn configuration(folder: &Path, house: [&str; 2], plain: &str, store: &str, listen: [&str; 2]) -> PathBuf {
+fn configuration(
+    folder: &Path, house: [&str; 2], plain: &str, receipts: &str, store: &str, listen: [&str; 2],
+) -> PathBuf {
     let file = folder.join("relay.toml");
     let text = format!(
         r#"name = "relay"
@@ -270,6 +272,7 @@
 [[as2.partner]]
 name = "DESK"
 certificate = "DESK.cert.pem"
+receipt_to = "{receipts}/receipts"
 hands_in = {{ class = "paid-extra", tenant = "desk", destination = 3 }}
 "#,
         listen[0], house[0], house[1], listen[1], listen[1]
@@ -321,7 +324,7 @@
     house.serve(later);
     plain_endpoint(plain, effects.clone());
     let start = |listen: [&str; 2]| {
-        let file = configuration(folder, [&sync_at, &later_at], &plain_at, store, listen);
+        let file = configuration(folder, [&sync_at, &later_at], &plain_at, &plain_at, store, listen);
         Program::start(&["run", "--config", file.to_str().expect("a path")], &[], 2)
     };
     let mut program = start(["127.0.0.1:0", "127.0.0.1:0"]);
@@ -393,7 +396,7 @@
                     taken.fetch_add(1, Ordering::Relaxed);
                     first = Some(answer.body);
                 }
-                std::thread::sleep(Duration::from_millis(30));
+                std::thread::sleep(Duration::from_millis(250));
             }
         })
     };
@@ -435,3 +438,156 @@
     let length = Duration::from_secs(seconds.unwrap_or(7));
     sitting(&folder, "sqlite", length, seed, Duration::from_secs(kill_every));
 }
+
+/// A relay between stand-ins that a test moves by hand.
+struct Scene {
+    program: Program,
+    house: TcpListener,
+    plain: TcpListener,
+    receipts: TcpListener,
+    names: [Key; 3],
+    folder: PathBuf,
+}
+
+impl Scene {
+    fn set(name: &str) -> Self {
+        let folder = folder(name);
+        let names = ["RELAY", "HOUSE", "DESK"].map(|name| kept_identity(&folder, name));
+        let ((house, house_at), (plain, plain_at), (receipts, receipts_at)) = (bind(), bind(), bind());
+        let listen = ["127.0.0.1:0"; 2];
+        let file = configuration(&folder, [&house_at, &house_at], &plain_at, &receipts_at, "sqlite", listen);
+        let program = Program::start(&["run", "--config", file.to_str().expect("a path")], &[], 2);
+        Scene { program, house, plain, receipts, names, folder }
+    }
+
+    /// Hands in a charge for the house's asynchronous side; the house hears it and accepts.
+    fn charge(&self, id: &str) -> (TcpStream, Heard) {
+        let mut client = connect(&self.program.addresses[0]);
+        let answer = ask(&mut client, &handed_in("paid-extra", id, 2, 1500, id.as_bytes()));
+        assert_eq!(answer.map(|answer| answer.status()), Some(202));
+        let mut stream = accept(&self.house);
+        let heard = hear(&mut stream).expect("a message");
+        stream.write_all(&response("text/plain", b"")).expect("written");
+        (stream, heard)
+    }
+
+    /// Posts a receipt for what the house heard.
+    fn receipt(&self, heard: &Heard, key: &Key, mic_of: Option<&[u8]>) -> Heard {
+        let kind = heard.header("Content-Type").unwrap_or_default();
+        let part = verify(kind, &heard.body, &self.names[0].1).expect("the relay's signature");
+        let id = heard.header("Message-ID").unwrap_or_default();
+        let report = report("HOUSE", id, &mic(mic_of.unwrap_or(&part)), "processed").expect("a report");
+        self.post(&post("HOUSE", "RELAY", "<mdn@house>", "", &report, key))
+    }
+
+    fn post(&self, request: &[u8]) -> Heard {
+        ask(&mut connect(&self.program.addresses[1]), request).expect("an answer")
+    }
+
+    /// Rows of one kind in the store, once the program is over.
+    fn rows(&mut self, kind: &str) -> i64 {
+        self.program.kill();
+        let tables = rusqlite::Connection::open(self.folder.join("state/relay.sqlite")).expect("opens");
+        let count = "SELECT COUNT(*) FROM tulipfall_records WHERE kind = ?1";
+        tables.query_row(count, [kind], |row| row.get(0)).expect("a count")
+    }
+}
+
+/// Hard case: a signed receipt after the message's time is up. It is recorded; the answer stays.
+#[test]
+fn a_late_receipt_is_recorded_and_changes_no_answer() {
+    let mut scene = Scene::set("as2-late");
+    let (_house, heard) = scene.charge("late");
+    scene.program.logged("\"outcome\":\"given_up\"");
+    let key = scene.names[1].clone();
+    assert_eq!(scene.receipt(&heard, &key, None).status(), 200);
+    scene.program.logged("late receipt of HOUSE");
+    scene.program.terminate();
+    assert!(scene.program.ended_well(), "so that what was under way is stored");
+    assert_eq!((scene.rows("receipt"), scene.rows("ended"), scene.rows("attempt started")), (1, 1, 1));
+}
+
+/// Hard case: a receipt that proves nothing, and then none. The charge is not sent again.
+#[test]
+fn a_receipt_that_does_not_prove_itself_is_named_and_has_no_effect() {
+    let mut scene = Scene::set("as2-unproved");
+    let (_house, heard) = scene.charge("unproved");
+    let (own, stranger) = (scene.names[1].clone(), identity("STRANGER"));
+    let wrong = scene.receipt(&heard, &own, Some(b"something else"));
+    assert!(wrong.status() == 400 && wrong.body.starts_with(b"mic-mismatch"), "{wrong:?}");
+    let wrong = scene.receipt(&heard, &stranger, None);
+    assert!(wrong.status() == 400 && wrong.body.starts_with(b"authentication-failed"), "{wrong:?}");
+    scene.program.logged("\"outcome\":\"given_up\"");
+    assert_eq!((scene.rows("receipt"), scene.rows("attempt started")), (0, 1));
+}
+
+#[test]
+fn a_receipt_in_time_is_the_delivery() {
+    let mut scene = Scene::set("as2-in-time");
+    let (_house, heard) = scene.charge("in-time");
+    let key = scene.names[1].clone();
+    assert_eq!(scene.receipt(&heard, &key, None).status(), 200);
+    scene.program.terminate();
+    assert!(scene.program.ended_well());
+    assert_eq!((scene.rows("receipt"), scene.rows("ended"), scene.rows("outcome")), (1, 1, 0));
+}
+
+#[test]
+fn a_message_with_a_fault_is_named_and_has_no_effect() {
+    let scene = Scene::set("as2-faults");
+    let (desk, stranger) = (scene.names[2].clone(), identity("STRANGER"));
+    let want = "Disposition-Notification-To: DESK\r\n";
+    let part = content("faulty");
+    let told = |heard: Heard| {
+        let kind = heard.header("Content-Type").unwrap_or_default();
+        match verify(kind, &heard.body, &scene.names[0].1) {
+            Ok(part) => Disposition::read(&part).expect("a receipt").disposition,
+            Err(_) => format!("{} {}", heard.status(), String::from_utf8_lossy(&heard.body)),
+        }
+    };
+    let signed = |from, to, key| told(scene.post(&post(from, to, "<1@desk>", want, &part, key)));
+    assert_eq!(signed("DESK", "RELAY", &stranger), "processed/error: authentication-failed");
+    assert_eq!(signed("NOBODY", "RELAY", &desk), "403 unknown-partner: \"NOBODY\"");
+    assert_eq!(signed("DESK", "OTHER", &desk), "403 unknown-partner: \"OTHER\"");
+    // The house hands nothing in, whoever signs.
+    assert_eq!(signed("HOUSE", "RELAY", &scene.names[1]), "403 unknown-partner: \"HOUSE\"");
+    let request = post("DESK", "RELAY", "<2@desk>", want, &part, &desk);
+    let altered = String::from_utf8(request).expect("text").replace("faulty", "Faulty");
+    assert_eq!(told(scene.post(altered.as_bytes())), "processed/error: integrity-check-failed");
+    let plain = format!(
+        "POST / HTTP/1.1\r\nAS2-From: DESK\r\nAS2-To: RELAY\r\nMessage-ID: <3@desk>\r\n{want}\
+         Content-Type: text/plain\r\nContent-Length: 6\r\n\r\nfaulty"
+    );
+    assert_eq!(told(scene.post(plain.as_bytes())), "processed/error: insufficient-message-security");
+    // And then one that is as it should be: it is the first that goes on.
+    assert_eq!(signed("DESK", "RELAY", &desk), "processed");
+    let good = post("DESK", "RELAY", "<4@desk>", want, &content("good"), &desk);
+    assert_eq!(told(scene.post(&good)), "processed");
+    let mut endpoint = accept(&scene.plain);
+    let first = hear(&mut endpoint).expect("a call");
+    assert_eq!(first.body, b"faulty", "the one with a sound signature");
+}
+
+#[test]
+fn an_asynchronous_receipt_goes_where_the_configuration_says_and_a_duplicate_gets_the_same() {
+    let scene = Scene::set("as2-asynchronous");
+    let more =
+        "Disposition-Notification-To: DESK\r\nReceipt-Delivery-Option: http://127.0.0.1:9/elsewhere\r\n";
+    let part = content("a charge");
+    let request = post("DESK", "RELAY", "<1@desk>", more, &part, &scene.names[2]);
+    let receipt = || {
+        assert_eq!(scene.post(&request).status(), 200);
+        let mut stream = accept(&scene.receipts);
+        let heard = hear(&mut stream).expect("a receipt");
+        let _ = stream.write_all(b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n");
+        heard
+    };
+    let first = receipt();
+    let kind = first.header("Content-Type").unwrap_or_default();
+    let said = Disposition::read(&verify(kind, &first.body, &scene.names[0].1).expect("signed"));
+    said.expect("a receipt").proves(&mic(&part)).expect("for what was sent");
+    assert_eq!(receipt(), first);
+    let mut endpoint = accept(&scene.plain);
+    assert_eq!(hear(&mut endpoint).expect("a call").body, b"a charge");
+    endpoint.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").expect("written");
+}
--- /dev/null
+++ b/tests/config.rs
@@ -0,0 +1,102 @@
+//! Configuration: every message names the faulty key. The cases stand in a text file, each an edit of the
+//! template or of the platform's object, and what comes of it in a snapshot.
+
+mod stand;
+
+use std::fmt::Write as _;
+use std::process::Command;
+
+use serde_json::Value;
+use stand::folder;
+use tulipfall::config::{Config, template};
+
+fn none(_: &str) -> Option<String> {
+    None
+}
+
+#[test]
+fn the_template_can_be_used_and_each_fault_is_named() {
+    let file = folder("config").join("desk.toml");
+    let mut told = String::new();
+    for case in include_str!("config/operator.txt").lines() {
+        let (old, new) = case.split_once(" => ").unwrap_or(("", ""));
+        let text = template("desk");
+        assert!(text.contains(old), "{case}");
+        std::fs::write(&file, text.replacen(old, new, 1)).expect("a file");
+        let result = match Config::load_file(&file, none) {
+            Ok(config) => format!("{} can be used", config.name),
+            Err(error) => error.to_string().replace(&file.display().to_string(), "FILE"),
+        };
+        let _ = writeln!(told, "{case}\n    {}", result.replace('\n', "\n    "));
+    }
+    insta::assert_snapshot!("operator", told);
+}
+
+#[test]
+fn the_platforms_object_is_read_and_each_fault_is_named() {
+    let object: Value = serde_json::from_str(include_str!("config/platform.json")).expect("JSON");
+    let mut told = String::new();
+    for case in include_str!("config/platform.txt").lines() {
+        let (pointer, new) = case.split_once(" => ").expect("a case");
+        let mut object = object.clone();
+        if !pointer.is_empty() {
+            *object.pointer_mut(pointer).expect(case) = serde_json::from_str(new).expect(case);
+        }
+        let environment = |name: &str| (name == "PROXY_STATE").then(|| "/state".to_string());
+        let result = match Config::read(&object, environment) {
+            Ok(config) => {
+                let known = config.known.map_or(0, |known| known.members.len());
+                format!(
+                    "{} can be used, {} classes, {known} known",
+                    config.name,
+                    config.settings.classes.len()
+                )
+            }
+            Err(error) => error.to_string(),
+        };
+        let _ = writeln!(told, "{case}\n    {result}");
+    }
+    insta::assert_snapshot!("platform", told);
+}
+
+#[test]
+fn the_environment_goes_first() {
+    let object: Value = serde_json::from_str(include_str!("config/platform.json")).expect("JSON");
+    let environment = |name: &str| match name {
+        "PROXY_NAME" => Some("other".to_string()),
+        "PROXY_LISTEN" => Some("127.0.0.9:1".to_string()),
+        "PROXY_STATE" => Some("/state".to_string()),
+        _ => None,
+    };
+    let config = Config::read(&object, environment).expect("sound");
+    assert_eq!((config.name.as_str(), config.listen.to_string().as_str()), ("other", "127.0.0.9:1"));
+}
+
+#[test]
+fn the_tool_writes_a_file_once_and_checks_each_that_it_is_given() {
+    let place = folder("config-tool");
+    let tool = |arguments: &[&str]| {
+        let output =
+            Command::new(env!("CARGO_BIN_EXE_tulipfall")).args(arguments).current_dir(&place).output();
+        let output = output.expect("it runs");
+        (output.status.success(), String::from_utf8_lossy(&output.stdout).into_owned())
+    };
+    assert!(tool(&["config", "init", "desk"]).0);
+    assert!(!tool(&["config", "init", "desk"]).0, "never over a file that is there");
+    assert!(!tool(&["config", "init", "../desk"]).0);
+    assert_eq!(tool(&["config", "check", "desk.toml"]), (true, "desk.toml: desk can be used\n".into()));
+    std::fs::write(place.join("bad.toml"), "name = 3\n").expect("a file");
+    let (fine, told) = tool(&["config", "check", "desk.toml", "bad.toml"]);
+    assert_eq!((fine, told.lines().last()), (false, Some("bad.toml: name: is not a text")));
+    assert!(!tool(&["no", "such", "command"]).0);
+}
+
+#[test]
+fn the_files_that_the_repository_brings_can_be_used() {
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    Config::load_file(&root.join("example/relay.toml"), none).expect("the example");
+    // The deploy file needs an operator's keys: without them it says which.
+    let deploy = root.join("deploy/muscat-checkin-as2.toml");
+    let error = Config::load_file(&deploy, none).expect_err("no keys").to_string();
+    assert!(error.starts_with("as2.key: ") && error.contains("sahil-relay.key.pem"), "{error}");
+}
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -268,3 +268,27 @@
     drained
     waits_are_kept
 }
+
+/// Bodies that come at the same moment are admitted together, each as if the others were stored already: else
+/// they fit one by one and the write of all does not.
+#[test]
+fn a_crowd_of_large_messages_is_refused_before_the_disk_is_full() {
+    let mut play = Play::new("crowd");
+    play.step("start disk_mb=1 slots=1");
+    let mut streams: Vec<TcpStream> = (0..40).map(|_| connect(&play.listen)).collect();
+    let writers = streams.iter().enumerate().map(|(i, stream)| {
+        let mut stream = stream.try_clone().expect("a stream");
+        let message = handed_in("status-update", &format!("m-{i}"), 0, 16_000, &[b'x'; 65_536]);
+        std::thread::spawn(move || stream.write_all(&message).expect("written"))
+    });
+    writers.collect::<Vec<_>>().into_iter().for_each(|writer| writer.join().expect("its end"));
+    let mut answers: Vec<u16> = Vec::new();
+    for stream in &mut streams {
+        answers.push(hear(stream).expect("an answer, not a crash").status());
+    }
+    let taken = answers.iter().filter(|status| **status == 202).count();
+    assert!((1..15).contains(&taken) && answers.iter().all(|s| [202, 503].contains(s)), "{answers:?}");
+    let files = std::fs::read_dir(play.folder.join("state")).expect("a folder").flatten();
+    let used: u64 = files.map(|file| file.metadata().expect("a file").len().div_ceil(512) * 512).sum();
+    assert!(used <= 1_000_000, "{used}");
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -58,7 +58,12 @@
     pub fn terminate(&self) {
         let id = self.child.id().to_string();
         Command::new("kill").args(["-TERM", &id]).status().expect("kill runs");
-        while !self.log.recv_timeout(FAR).expect("it hears the signal").contains("stopping") {}
+        self.logged("stopping");
+    }
+
+    /// Waits until its log says so.
+    pub fn logged(&self, text: &str) {
+        while !self.log.recv_timeout(FAR).expect(text).contains(text) {}
     }
 
     /// Whether it ended well, once it has ended.
