Test gaps in discovery, stale connections and calls broken after the last byte

Seen: three paths had no test: the list after a broken watch, an idle connection that its endpoint closed, and a call cut off when fully written.

--- a/tests/as2.rs
+++ b/tests/as2.rs
@@ -323,13 +323,24 @@
     house.serve(sync);
     house.serve(later);
     plain_endpoint(plain, effects.clone());
-    let start = |listen: [&str; 2]| {
+    // Each start gets ports of its own: one that a killed process left may be taken by anybody.
+    let addresses = Arc::new(Mutex::new(Vec::new()));
+    let start = || {
+        let listen = ["127.0.0.1:0"; 2];
         let file = configuration(folder, [&sync_at, &later_at], &plain_at, &plain_at, store, listen);
-        Program::start(&["run", "--config", file.to_str().expect("a path")], &[], 2)
+        let program = Program::start(&["run", "--config", file.to_str().expect("a path")], &[], 2);
+        *house.receipts_at.lock().expect("a lock") = program.addresses[1].clone();
+        *addresses.lock().expect("a lock") = program.addresses.clone();
+        program
+    };
+    let mut program = start();
+    let reach = |addresses: &Mutex<Vec<String>>, which: usize| {
+        let address = addresses.lock().expect("a lock")[which].clone();
+        let stream = TcpStream::connect(address).ok()?;
+        stream.set_read_timeout(Some(FAR)).ok()?;
+        // A connection to a port that nobody listens on any more can meet itself.
+        (stream.local_addr().ok()? != stream.peer_addr().ok()?).then_some(stream)
     };
-    let mut program = start(["127.0.0.1:0", "127.0.0.1:0"]);
-    let addresses = program.addresses.clone();
-    *house.receipts_at.lock().expect("a lock") = addresses[1].clone();
 
     let run =
         std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a clock").as_micros();
@@ -337,16 +348,12 @@
     let end = Instant::now() + length;
     // Clients of the platform's front: the next message goes in when the last was answered.
     let clients = (0..4u64).map(|client| {
-        let (address, over, taken) = (addresses[0].clone(), over.clone(), taken.clone());
+        let (addresses, over, taken) = (addresses.clone(), over.clone(), taken.clone());
         std::thread::spawn(move || {
             let mut chance = Chance(seed.wrapping_mul(31) + client + 1);
             let mut n = 0;
             while !over.load(Ordering::Relaxed) {
-                let Ok(mut stream) = TcpStream::connect(&address) else {
-                    std::thread::yield_now();
-                    continue;
-                };
-                let _ = stream.set_read_timeout(Some(FAR));
+                let Some(mut stream) = reach(&addresses, 0) else { continue };
                 while !over.load(Ordering::Relaxed) {
                     n += 1;
                     let class = if chance.below(4) == 0 { "status-update" } else { "paid-extra" };
@@ -365,7 +372,7 @@
     });
     // A desk that speaks AS2 and resends the same message until it has its receipt.
     let desk = {
-        let (address, over, key) = (addresses[1].clone(), over.clone(), names[2].clone());
+        let (addresses, over, key) = (addresses.clone(), over.clone(), names[2].clone());
         let (relay, taken) = (names[0].1.clone(), taken.clone());
         std::thread::spawn(move || {
             let (mut chance, mut n) = (Chance(seed + 77), 0);
@@ -377,8 +384,7 @@
                 let request = post("DESK", "RELAY", &id, want, &part, &key);
                 let mut first: Option<Vec<u8>> = None;
                 while !over.load(Ordering::Relaxed) {
-                    let Ok(mut stream) = TcpStream::connect(&address) else { continue };
-                    let _ = stream.set_read_timeout(Some(FAR));
+                    let Some(mut stream) = reach(&addresses, 1) else { continue };
                     if stream.write_all(&request).is_err() || chance.below(4) == 0 {
                         continue; // The receipt is lost, or the desk hangs up before it.
                     }
@@ -407,7 +413,7 @@
         if Instant::now() < end {
             program.kill();
             kills += 1;
-            program = start([&addresses[0], &addresses[1]]);
+            program = start();
         }
     }
     over.store(true, Ordering::Relaxed);
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -7,7 +7,7 @@
 //!     client N sends TEXT     raw bytes; \r \n as written
 //!     client N hears          notes the answer
 //!     endpoint N accepts | hears | answers TEXT | closes    a call's connection, in the order accepted
-//!     agent lists TEXT | hears_watch | answers_watch TEXT | hears_notice      discovery and notices
+//!     agent hears_watch | answers_watch TEXT | drops_watch | hears_notice     discovery and notices
 //!
 //! A step that does not come true fails at one far deadline; nothing sleeps.
 
@@ -110,7 +110,7 @@
             calls: HashMap::new(),
             agent: Agent::new(),
             watch: None,
-            listen: "127.0.0.1:0".into(),
+            listen: String::new(),
             transcript: String::new(),
         }
     }
@@ -161,7 +161,7 @@
                     &[],
                     &[
                         ("PROXY_CONFIG", &text(&file)),
-                        ("PROXY_LISTEN", &self.listen),
+                        ("PROXY_LISTEN", "127.0.0.1:0"),
                         ("PROXY_DISCOVERY", &self.agent.address),
                         ("PROXY_STATE", &text(&state)),
                     ],
@@ -215,6 +215,10 @@
                 self.note("agent hears", Some(heard));
                 self.watch = Some(stream);
             }
+            "drops_watch" => {
+                let stream = self.watch.take().expect("a watch");
+                stream.shutdown(std::net::Shutdown::Both).expect("open until now");
+            }
             "answers_watch" => {
                 let text = text.trim();
                 let address = self.endpoints[0].local_addr().expect("an address").to_string();
@@ -267,6 +271,9 @@
     disk_full
     drained
     waits_are_kept
+    list_after_a_gap
+    stale_connection
+    broken_after_the_last_byte
 }
 
 /// Bodies that come at the same moment are admitted together, each as if the others were stored already: else
