Read the destination set entry by entry, so that one that makes no sense hides no other

Seen by reading runtime.rs: one entry of a kind that the settings do not name made the whole list an error, and the relay would have gone on with the old one, endpoints that drain included. Cause: all entries were read in one call.

--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -297,10 +297,13 @@
             }
             raw.push(member.entry);
         }
-        match self.names.entries(&raw) {
-            Ok(entries) => self.handle(Event::List(form, entries)),
-            Err(error) => eprintln!("tulipfall: destination set: {error}"),
-        }
+        // An entry that makes no sense must not hide the others.
+        let read = raw.iter().filter_map(|entry| {
+            let read = self.names.entries(std::slice::from_ref(entry));
+            read.inspect_err(|error| eprintln!("tulipfall: destination set: {error}")).ok()
+        });
+        let entries = read.flatten().collect();
+        self.handle(Event::List(form, entries));
     }
 
     fn handle(&mut self, event: Event) {
