Name a partner's destination that the operator's file does not have

Seen by trying faulty files: a partner for destination 99 passed the check, and its messages would have gone nowhere or over plain HTTP. Cause: config.rs read the number without looking it up. Now both places that name a destination are checked; the test tries each fault around partners and keys. Ruled out: the platform's JSON, which has no partners.

--- a/src/config.rs
+++ b/src/config.rs
@@ -363,7 +363,9 @@
             }
         };
         let as2 = top.table("as2")?;
-        let as2 = as2.map(|table| operator_as2(&table, folder, &settings, &names)).transpose()?;
+        let cells: BTreeSet<i64> =
+            known.iter().flat_map(|known| &known.members).map(|member| member.entry.cell()).collect();
+        let as2 = as2.map(|table| operator_as2(&table, folder, &settings, &names, &cells)).transpose()?;
         top.finish()?;
         Ok(Config {
             name,
@@ -464,12 +466,18 @@
 }
 
 fn operator_as2(
-    table: &Table, folder: &Path, settings: &Settings, names: &Names,
+    table: &Table, folder: &Path, settings: &Settings, names: &Names, cells: &BTreeSet<i64>,
 ) -> Result<As2Config, ConfigError> {
     let file = |table: &Table, key: &'static str| {
         let path = folder.join(table.text(key)?);
         std::fs::read(&path).map_err(|error| table.bad(key, format!("{}: {error}", path.display())))
     };
+    // Guards against messages that would wait for a destination which is spelt otherwise.
+    let listed = |table: &Table| {
+        let cell = table.number("destination", 0.0, None)? as i64;
+        let known = cells.contains(&cell).then_some(cell);
+        known.ok_or_else(|| table.bad("destination", format!("is {cell}, no destination of this file")))
+    };
     let certificate = |table: &Table| {
         X509::from_pem(&file(table, "certificate")?)
             .map_err(|_| table.bad("certificate", "is no certificate in PEM form"))
@@ -489,7 +497,7 @@
             let tenant = hands_in.maybe_text("tenant")?.map(|tenant| {
                 names.tenant(tenant).ok_or_else(|| hands_in.bad("tenant", "is no tenant of this file"))
             });
-            let destination = hands_in.number("destination", 0.0, None)? as i64;
+            let destination = listed(&hands_in)?;
             hands_in.finish()?;
             let deadline = settings.classes.get(class).map_or(0, |class| class.deadline);
             Ok(HandsIn { class, tenant: tenant.transpose()?, destination, deadline })
@@ -499,7 +507,7 @@
             _ => Err(partner.bad("receipt_to", format!("is {text:?}, expected host:port/path"))),
         });
         let destination = partner.get("destination").is_some();
-        let destination = destination.then(|| partner.number("destination", 0.0, None)).transpose()?;
+        let destination = destination.then(|| listed(&partner)).transpose()?;
         let asynchronous = match partner.maybe_text("receipt")?.unwrap_or("sync") {
             "sync" => false,
             "async" => true,
@@ -508,7 +516,7 @@
         partners.push(Partner {
             name: partner.text("name")?.into(),
             certificate: certificate(&partner)?,
-            destination: destination.map(|destination| destination as i64),
+            destination,
             path: partner.maybe_text("path")?.unwrap_or("/").into(),
             asynchronous,
             hands_in: hands_in.transpose()?,
--- a/tests/as2.rs
+++ b/tests/as2.rs
@@ -597,3 +597,30 @@
     assert_eq!(hear(&mut endpoint).expect("a call").body, b"a charge");
     endpoint.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").expect("written");
 }
+
+#[test]
+fn a_partner_for_a_destination_or_class_that_is_not_there_is_named() {
+    let folder = folder("as2-config");
+    ["RELAY", "HOUSE", "DESK"].map(|name| kept_identity(&folder, name));
+    let at = "127.0.0.1:1";
+    let file = configuration(&folder, [at, at], at, at, "sqlite", [at, at]);
+    let sound = std::fs::read_to_string(&file).expect("a file");
+    let told = |old: &str, new: &str| {
+        assert!(sound.contains(old), "{old}");
+        std::fs::write(&file, sound.replacen(old, new, 1)).expect("a file");
+        let read = tulipfall::config::Config::load_file(&file, |_| None);
+        read.map_or_else(|error| error.to_string(), |_| "can be used".into())
+    };
+    assert_eq!(told("", ""), "can be used");
+    let house = "certificate = \"HOUSE.cert.pem\"\ndestination = ";
+    let wrong = told(&format!("{house}1"), &format!("{house}99"));
+    assert_eq!(wrong, "as2.partner.0.destination: is 99, no destination of this file");
+    let wrong = told("destination = 3 }", "destination = 8 }");
+    assert_eq!(wrong, "as2.partner.2.hands_in.destination: is 8, no destination of this file");
+    let wrong = told("{ class = \"paid-extra\"", "{ class = \"paid\"");
+    assert_eq!(wrong, "as2.partner.2.hands_in.class: is no class of this file");
+    let wrong = told("key = \"RELAY.key.pem\"", "key = \"DESK.key.pem\"");
+    assert_eq!(wrong, "as2.key: does not belong to the certificate");
+    let wrong = told("\"HOUSE.cert.pem\"", "\"HOUSE.key.pem\"");
+    assert_eq!(wrong, "as2.partner.0.certificate: is no certificate in PEM form");
+}
