Let the history in a database file yield to new messages

Cause: store.rs kept finished rows for 30 days and counted them against the file's limit, so that a full history refused every message; a start on such a file had no way out. Also wrong there: receipts were removed by the history's age, not by the time they are to be remembered. Test: 1,500 messages over a file of 1 MB, and a smaller limit.

--- a/src/store.rs
+++ b/src/store.rs
@@ -229,15 +229,18 @@
         }
     }
 
-    /// Forgets the receipts that are remembered no longer.
-    fn forget_receipts(&mut self, now: Micros, mut moved: impl FnMut(u64, i64)) {
-        self.live.retain(|_, live| {
+    /// Forgets the receipts that are remembered no longer; tells their keys.
+    fn forget_receipts(&mut self, now: Micros, mut moved: impl FnMut(u64, i64)) -> Vec<String> {
+        let mut forgotten = Vec::new();
+        self.live.retain(|key, live| {
             let keep = live.receipt.as_ref().is_none_or(|receipt| receipt.until > now);
             if !keep {
                 moved(live.segment, -1);
+                forgotten.push(key.clone());
             }
             keep
         });
+        forgotten
     }
 
     /// Messages and notices that are not finished.
@@ -635,6 +638,8 @@
     limit: Option<u64>,
     keep: Micros,
     prune_at: Micros,
+    /// Receipts whose rows may go.
+    forgotten: Vec<String>,
     book: Book,
     seq: u64,
 }
@@ -751,7 +756,8 @@
         engine: Engine, relay: &str, limit: Option<u64>, keep: Micros, now: Micros,
     ) -> Result<(Self, Replay), StoreError> {
         let (book, relay) = (Book::default(), quote(relay));
-        let mut database = Database { engine, relay, limit, keep, prune_at: now, book, seq: 0 };
+        let mut database =
+            Database { engine, relay, limit, keep, prune_at: now, forgotten: vec![], book, seq: 0 };
         database.engine.execute(TABLE).await?;
         let relay = &database.relay;
         let unfinished = format!(
@@ -765,21 +771,31 @@
             let record = record.ok_or(StoreError::Damaged { file: "tulipfall_records".into(), at })?;
             database.book.apply(&record, 0, 0, |_, _| ());
         }
-        database.book.forget_receipts(now, |_, _| ());
+        database.forgotten = database.book.forget_receipts(now, |_, _| ());
         let last = database.engine.rows(&last).await?;
         database.seq = last.first().and_then(|(seq, _)| seq.parse().ok()).unwrap_or(0);
         let replay = database.book.replay();
+        // A file that an earlier process left full has to yield before anything can be taken on.
+        let mut before = u64::MAX;
+        while database.limit.is_some_and(|limit| database.used() > limit / 2) && database.used() < before {
+            before = database.used();
+            database.append(now, &[]).await?;
+        }
         Ok((database, replay))
     }
 
     /// Whether a message with so many bytes can be taken on.
     pub fn room(&self, bytes: usize) -> bool {
-        let Engine::Sqlite(connection) = &self.engine else { return true };
-        let count = |name| connection.pragma_query_value(None, name, |row| row.get::<_, i64>(0)).unwrap_or(0);
-        let used = (count("page_count") - count("freelist_count")) * count("page_size");
         // Hexadecimal text takes twice the room.
         let need = 2 * bytes as u64 + (self.book.unfinished() + 1) * 4 * TO_END;
-        self.limit.is_none_or(|limit| used as u64 + need <= limit)
+        self.limit.is_none_or(|limit| self.used() + need <= limit)
+    }
+
+    /// Bytes of a database file that hold something.
+    fn used(&self) -> u64 {
+        let Engine::Sqlite(connection) = &self.engine else { return 0 };
+        let count = |name| connection.pragma_query_value(None, name, |row| row.get::<_, i64>(0)).unwrap_or(0);
+        u64::try_from((count("page_count") - count("freelist_count")) * count("page_size")).unwrap_or(0)
     }
 
     /// Writes records, all or none.
@@ -814,10 +830,26 @@
             let _ = write!(
                 sql,
                 "DELETE FROM tulipfall_records WHERE relay = {relay} AND at < {before} \
-                 AND (finished = 1 OR kind = 'receipt');"
+                 AND finished = 1;"
             );
             self.prune_at = now + self.keep / 16;
         }
+        for key in &self.forgotten {
+            let _ = write!(
+                sql,
+                "DELETE FROM tulipfall_records WHERE relay = {relay} AND message = {};",
+                quote(key)
+            );
+        }
+        // The history yields to what is to come: guards against refusing all for the sake of what is over.
+        if self.limit.is_some_and(|limit| self.used() > limit / 2) {
+            let _ = write!(
+                sql,
+                "DELETE FROM tulipfall_records WHERE relay = {relay} AND finished = 1 AND seq < \
+                 (SELECT (MIN(seq) + MAX(seq)) / 2 FROM tulipfall_records \
+                 WHERE relay = {relay} AND finished = 1);"
+            );
+        }
         sql.push_str("COMMIT;");
         let mut tries = 0;
         while let Err(error) = self.engine.execute(&sql).await {
@@ -829,7 +861,7 @@
         }
         self.seq += records.len() as u64;
         records.iter().for_each(|record| self.book.apply(record, 0, 0, |_, _| ()));
-        self.book.forget_receipts(now, |_, _| ());
+        self.forgotten = self.book.forget_receipts(now, |_, _| ());
         Ok(())
     }
 }
--- a/tests/as2.rs
+++ b/tests/as2.rs
@@ -345,10 +345,13 @@
     let run =
         std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("a clock").as_micros();
     let (over, taken) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
-    let end = Instant::now() + length;
+    let (refused, latest) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
+    let began = Instant::now();
+    let end = began + length;
     // Clients of the platform's front: the next message goes in when the last was answered.
     let clients = (0..4u64).map(|client| {
         let (addresses, over, taken) = (addresses.clone(), over.clone(), taken.clone());
+        let (refused, latest) = (refused.clone(), latest.clone());
         std::thread::spawn(move || {
             let mut chance = Chance(seed.wrapping_mul(31) + client + 1);
             let mut n = 0;
@@ -361,9 +364,13 @@
                     let dest = 1 + chance.below(2) as i64;
                     let id = format!("{run}-{client}-{n}");
                     match ask(&mut stream, &handed_in(class, &id, dest, 1500, body.as_bytes())) {
-                        Some(answer) => taken.fetch_add(u64::from(answer.status() == 202), Ordering::Relaxed),
+                        Some(answer) if answer.status() == 202 => {
+                            taken.fetch_add(1, Ordering::Relaxed);
+                            latest.fetch_max(began.elapsed().as_secs(), Ordering::Relaxed);
+                        }
+                        Some(_) => drop(refused.fetch_add(1, Ordering::Relaxed)),
                         None => break,
-                    };
+                    }
                     // A pace, not a wait for something: some thirty a second from each.
                     std::thread::sleep(Duration::from_millis(30));
                 }
@@ -423,13 +430,17 @@
     assert!(program.ended_well());
     let ((charges, twice), (updates, repeated)) =
         (effects.count("paid-extra"), effects.count("status-update"));
-    let taken = taken.load(Ordering::Relaxed);
+    let (taken, refused) = (taken.load(Ordering::Relaxed), refused.load(Ordering::Relaxed));
+    let latest = latest.load(Ordering::Relaxed);
     println!(
-        "sitting of {} s on {store}, seed {seed}, {kills} kills: {taken} messages taken in this sitting; \
+        "sitting of {} s on {store}, seed {seed}, {kills} kills: {taken} messages taken, {refused} refused, \
+         the latest taken at {latest} s; \
          on this folder so far {charges} charges took effect, {twice} twice; {updates} updates, {repeated} repeated",
         length.as_secs()
     );
     assert!(taken > 0 && charges > 0, "something was sent");
+    // Guards against a sitting in which the relay refuses all: nothing takes effect twice then either.
+    assert!(latest + 6 >= length.as_secs(), "messages were taken to the end");
     assert_eq!(twice, 0, "a charge took effect twice");
 }
 
--- a/tests/store.rs
+++ b/tests/store.rs
@@ -223,6 +223,29 @@
     });
 }
 
+#[test]
+fn the_history_in_a_database_file_yields_to_new_messages() {
+    let file = folder("sqlite-full").join("relay.sqlite");
+    runtime().block_on(async {
+        let keep = 1 << 50;
+        let (mut database, _) = Database::sqlite(&file, "n1", 1_000_000, keep, 0).await.expect("opens");
+        database.append(0, &[taken("held", 2000)]).await.expect("written");
+        for n in 0..1500 {
+            assert!(database.room(2000), "message {n} is refused for the sake of those that are over");
+            let id = format!("m-{n}");
+            let ended = Record::Ended { id: id.clone(), notice: None };
+            database.append(n, &[taken(&id, 2000), ended]).await.expect("written");
+        }
+        drop(database);
+        assert!(std::fs::metadata(&file).expect("a file").len() < 500_000);
+        let (_, replay) = Database::sqlite(&file, "n1", 1_000_000, keep, 0).await.expect("opens");
+        assert_eq!(replay.messages.len(), 1, "what is held stays");
+        // A smaller limit finds the file too full, and makes room at the start.
+        let (database, _) = Database::sqlite(&file, "n1", 250_000, keep, 0).await.expect("opens");
+        assert!(database.room(2000));
+    });
+}
+
 /// A PostgreSQL server as far as the store needs one: start-up and simple queries of protocol 3.0, the tables
 /// in SQLite. After `drop_after` queries it takes one more, carries it out and ends the connection unanswered.
 fn postgres(file: std::path::PathBuf, mut drop_after: Option<usize>) -> u16 {
