Say once what may have run, and go through receipts only when one is due

Seen on reading the whole change: runtime.rs listed again the outcomes after which an attempt may have run, which rules.rs already listed; and each write to a store went through everything live to look for receipts to forget. Cause: both were written beside what was there. Now one method in interface.rs serves both, and the store remembers when the first receipt is due. Behaviour stays; all tests pass as they were. Ruled out: joining the reader of the platform's JSON with that of the operator's tables, as their messages differ on purpose.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -280,6 +280,13 @@
     Skipped,
 }
 
+impl Outcome {
+    /// Whether an attempt that ended so, without delivery, may have taken effect or may still do so.
+    pub fn may_have_run(self) -> bool {
+        matches!(self, Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled)
+    }
+}
+
 /// What a destination told of its limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Report {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -573,8 +573,6 @@
         let Some(message) = self.messages.get_mut(&id) else { return };
         let Some(call_id) = message.out.take() else { return };
         let over = over || message.over;
-        let may_have_run =
-            matches!(outcome, Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
         let Some(call) = self.calls.get_mut(&call_id) else { return };
         let begun = call.begun;
         call.left -= 1;
@@ -584,7 +582,7 @@
             let lane = &mut self.lanes[call.lane];
             lane.wait_until = lane.wait_until.max(Some(now + wait));
         }
-        if may_have_run {
+        if outcome.may_have_run() {
             message.risk = message.risk.or(Some((begun, endpoint.zone)));
             let rest = if outcome == Outcome::Error { 0 } else { self.settings.rules.settle };
             if let Some(line) = message.key.as_ref().and_then(|key| self.keys.get_mut(key)) {
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -275,8 +275,7 @@
             self.forget(id);
             self.over(end.id, None);
         } else {
-            let ran = [Outcome::Error, Outcome::TimedOut, Outcome::Reset, Outcome::Cancelled];
-            let may_have_run = ran.contains(&end.outcome);
+            let may_have_run = end.outcome.may_have_run();
             self.records.push(Record::Outcome { id: end.id, attempt: end.attempt, may_have_run });
         }
         let took = self.clock.now() - end.began;
--- a/src/store.rs
+++ b/src/store.rs
@@ -165,6 +165,8 @@
 struct Book {
     live: HashMap<String, Live>,
     seq: u64,
+    /// When the first receipt is to be forgotten; none before that.
+    forget_at: Option<Micros>,
 }
 
 impl Book {
@@ -220,6 +222,7 @@
             }
             Record::Receipt(receipt) => {
                 self.seq += 1;
+                self.forget_at = Some(self.forget_at.map_or(receipt.until, |at| at.min(receipt.until)));
                 let live = Live { receipt: Some(receipt.clone()), ..Live::new(self.seq, segment, size) };
                 if let Some(old) = self.live.insert(receipt.key.clone(), live) {
                     moved(old.segment, -1);
@@ -232,6 +235,10 @@
     /// Forgets the receipts that are remembered no longer; tells their keys.
     fn forget_receipts(&mut self, now: Micros, mut moved: impl FnMut(u64, i64)) -> Vec<String> {
         let mut forgotten = Vec::new();
+        // Every write asks; the receipts are gone through only when one is due.
+        if self.forget_at.is_none_or(|at| at > now) {
+            return forgotten;
+        }
         self.live.retain(|key, live| {
             let keep = live.receipt.as_ref().is_none_or(|receipt| receipt.until > now);
             if !keep {
@@ -240,6 +247,7 @@
             }
             keep
         });
+        self.forget_at = self.live.values().filter_map(|live| Some(live.receipt.as_ref()?.until)).min();
         forgotten
     }
 
