Read the configuration again on SIGHUP, and move discovery and notices

Checked: main.rs handled SIGTERM and SIGINT alone; follow and notify were given one address for good; PROXY_DISCOVERY stays the start's, so that a reload has to take the address from the file. Ruled out: restarts, whose logs show replay and notices at the address of the environment. At fault: main.rs run (no handler), discovery.rs follow and notify (fixed address). Now handlers stand before all else, both tasks follow a watched address, a faulty file changes nothing, and the log names the keys that need a restart. Test: reloaded (without the change the program ends on the first signal).

--- a/src/config.rs
+++ b/src/config.rs
@@ -1,6 +1,6 @@
 //! Configuration: the one place where it is read, checked and given defaults. Owns the reading of the
 //! environment and of JSON, and turns them into the few values that the program uses; a message names the
-//! faulty key. It must never start anything or be read again after the start.
+//! faulty key. Tells what a file that was replaced changes. It must never start anything.
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
@@ -95,8 +95,13 @@
     pub names: Names,
     /// The destination set as last held.
     pub known: Option<Told>,
+    /// The file as it was read.
+    source: Value,
 }
 
+/// Keys of the file that a running process takes on, or that count at a start alone.
+const TAKEN_ON: [&str; 4] = ["discovery", "notices", "known", "seed"];
+
 /// Sockets where no limit is told.
 const SOCKETS: u64 = 1024;
 /// Megabytes where no limit is told.
@@ -112,6 +117,17 @@
 }
 
 impl Config {
+    /// The keys in which `new` differs and which count only from the next start on.
+    pub fn need_a_start(&self, new: &Config) -> Vec<String> {
+        let keys = |config: &Config| {
+            config.source.as_object().into_iter().flat_map(|fields| fields.keys().cloned()).collect()
+        };
+        let mut all: BTreeSet<String> = keys(self);
+        all.append(&mut keys(new));
+        all.retain(|key| !TAKEN_ON.contains(&key.as_str()) && self.source.get(key) != new.source.get(key));
+        all.into_iter().collect()
+    }
+
     /// Reads the file that `PROXY_CONFIG` names, and the environment, which goes first.
     ///
     /// # Errors
@@ -183,6 +199,7 @@
             settings,
             names,
             known,
+            source: value.clone(),
         })
     }
 }
@@ -317,7 +334,8 @@
         let value: toml::Value = toml::from_str(&text).map_err(|error| unreadable(error.to_string()))?;
         let value = serde_json::to_value(value).map_err(|error| unreadable(error.to_string()))?;
         let folder = file.parent().unwrap_or(Path::new("."));
-        Self::operator(&Table::new(&value, "")?, folder, environment)
+        let config = Self::operator(&Table::new(&value, "")?, folder, environment)?;
+        Ok(Config { source: value, ..config })
     }
 
     fn operator(
@@ -381,6 +399,7 @@
             settings,
             names,
             known,
+            source: Value::Null,
         })
     }
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -12,7 +12,7 @@
 use tokio::sync::{mpsc, watch};
 
 use tulipfall::as2::As2;
-use tulipfall::config::{Config, StoreChoice, template};
+use tulipfall::config::{Config, ConfigError, StoreChoice, template};
 use tulipfall::exchange::{Clock, Input};
 use tulipfall::interface::Micros;
 use tulipfall::net::discovery;
@@ -40,10 +40,12 @@
     let arguments: Vec<&str> = arguments.iter().map(String::as_str).collect();
     let environment = |variable: &str| std::env::var(variable).ok();
     let result = match arguments[..] {
-        [] | ["run"] => Config::load(environment).map_err(Into::into).and_then(start),
-        ["run", "--config", file] => {
-            Config::load_file(Path::new(file), environment).map_err(Into::into).and_then(start)
-        }
+        [] | ["run"] => start(|again| match again {
+            // The environment is the start's: from then on the file that was replaced tells where discovery is.
+            true => Config::load(|variable| environment(variable).filter(|_| variable != "PROXY_DISCOVERY")),
+            false => Config::load(environment),
+        }),
+        ["run", "--config", file] => start(|_| Config::load_file(Path::new(file), environment)),
         ["config", "init", application] => init(application, &format!("{application}.toml")),
         ["config", "init", application, file] => init(application, file),
         ["config", "check", ref files @ ..] if !files.is_empty() => check(files),
@@ -83,8 +85,32 @@
     if wrong == 0 { Ok(()) } else { Err(format!("{wrong} of {} cannot be used", files.len()).into()) }
 }
 
-fn start(config: Config) -> Result<(), Failure> {
-    tokio::runtime::Builder::new_current_thread().enable_all().build()?.block_on(run(config))
+/// `load` reads the configuration, and is told whether it does so again.
+fn start(load: impl Fn(bool) -> Result<Config, ConfigError>) -> Result<(), Failure> {
+    let config = load(false)?;
+    tokio::runtime::Builder::new_current_thread().enable_all().build()?.block_on(run(config, load))
+}
+
+/// Where discovery is asked and where notices go, as texts.
+fn addresses(config: &Config) -> [Option<Arc<str>>; 2] {
+    [config.discovery, config.notices].map(|address| address.map(|address| address.to_string().into()))
+}
+
+/// Takes on what a new configuration changes; one that cannot be used leaves all as it is.
+fn reload(start: &Config, new: Result<Config, ConfigError>, to: [&watch::Sender<Option<Arc<str>>>; 2]) {
+    let new = match new {
+        Ok(new) => new,
+        Err(error) => {
+            return eprintln!("tulipfall: the configuration cannot be used, the old one stays: {error}");
+        }
+    };
+    for (address, to) in addresses(&new).into_iter().zip(to) {
+        to.send_if_modified(|old| std::mem::replace(old, address.clone()) != address);
+    }
+    let left = start.need_a_start(&new);
+    let left =
+        if left.is_empty() { String::new() } else { format!("; needs a restart: {}", left.join(", ")) };
+    eprintln!("tulipfall: configuration read again{left}");
 }
 
 async fn open(config: &Config, now: Micros) -> Result<(Store, Replay), Failure> {
@@ -106,8 +132,11 @@
     })
 }
 
-async fn run(config: Config) -> Result<(), Failure> {
+async fn run(mut config: Config, load: impl Fn(bool) -> Result<Config, ConfigError>) -> Result<(), Failure> {
     let clock = Clock::start();
+    // Before all else: a signal that finds no handler ends the process.
+    let (mut terminate, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    let mut hangup = signal(SignalKind::hangup())?;
     let (inputs, received) = mpsc::channel(INPUTS);
     let (notices, owed) = mpsc::unbounded_channel();
     let (stop, stopping) = watch::channel(false);
@@ -129,7 +158,7 @@
     let (store, replay) = open(&config, clock.now()).await?;
     let settings = &config.settings;
     let connections = Connections::new(clock, settings.connect_timeout, settings.connection_idle);
-    let as2 = config.as2.map(|as2| {
+    let as2 = config.as2.take().map(|as2| {
         let receipts = replay.receipts.clone();
         let front = As2::new(as2.identity, clock, inputs.clone(), connections.clone(), receipts);
         (as2.listen, Arc::new(front))
@@ -138,15 +167,16 @@
     let caller = Box::new(Outbound::new(clock, inputs.clone(), connections.clone(), partners));
     let (messages, pending) = (replay.messages.len(), replay.notices.len());
     let relay = Relay::new(config.settings.clone(), config.seed)?;
-    let mut runtime = Runtime::new(clock, relay, config.names, &config.settings, store, caller, notices);
-    let revision = config.known.as_ref().map_or(0, |known| known.revision);
-    runtime.resume(config.known.map(|known| known.members).unwrap_or_default(), replay).await?;
+    let names = std::mem::take(&mut config.names);
+    let mut runtime = Runtime::new(clock, relay, names, &config.settings, store, caller, notices);
+    let known = config.known.take();
+    let revision = known.as_ref().map_or(0, |known| known.revision);
+    runtime.resume(known.map(|known| known.members).unwrap_or_default(), replay).await?;
 
-    if let Some(address) = config.discovery {
-        tokio::spawn(discovery::follow(clock, address.to_string().into(), revision, inputs.clone()));
-    }
-    let address = config.notices.map(|address| address.to_string().into());
-    tokio::spawn(discovery::notify(clock, address, owed, inputs.clone()));
+    let [asked, told] = addresses(&config);
+    let ((ask, asked), (tell, told)) = (watch::channel(asked), watch::channel(told));
+    tokio::spawn(discovery::follow(clock, asked, revision, inputs.clone()));
+    tokio::spawn(discovery::notify(clock, told, owed, inputs.clone()));
     let mut fronts = vec![platform.clone()];
     if let Some((address, as2)) = as2 {
         let as2 = front(Front::As2(as2));
@@ -160,7 +190,6 @@
             tokio::time::sleep_until(clock.instant(again)).await;
         }
     });
-    let (mut terminate, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
     tokio::spawn(async move {
         tokio::select! {
             _ = terminate.recv() => {}
@@ -172,7 +201,14 @@
     });
     platform.ready.store(true, Ordering::Relaxed);
     eprintln!("tulipfall: {} ready, {messages} messages and {pending} notices taken on again", config.name);
-    runtime.run(received).await?;
+    let served = runtime.run(received);
+    tokio::pin!(served);
+    loop {
+        tokio::select! {
+            end = &mut served => break end?,
+            Some(()) = hangup.recv() => reload(&config, load(true), [&ask, &tell]),
+        }
+    }
     for front in fronts {
         front.answered(clock.now() + ANSWER_WITHIN).await;
     }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,12 +1,13 @@
 //! Discovery: keeps the destination set fresh by a watch that is renewed at once, and takes the platform the
-//! notices. Owns the two connections to the platform's agent. It must never judge an endpoint's health.
+//! notices. Owns the two connections to the platform's agent, and moves both when a new configuration names
+//! another address. It must never judge an endpoint's health.
 
 use std::sync::Arc;
 
 use futures_util::{SinkExt, StreamExt};
 use serde_json::{Value, json};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tokio_util::codec::Framed;
 
 use super::http::{Codec, Message, Start};
@@ -62,6 +63,9 @@
 
 type Connection = Framed<TcpStream, Codec>;
 
+/// Where something is to be asked or told, as the newest configuration has it.
+pub type Address = watch::Receiver<Option<Arc<str>>>;
+
 /// One call on a kept connection, which is dropped if it fails or is not answered by then.
 async fn ask(
     clock: Clock, address: &str, kept: &mut Option<Connection>, request: &Message, by: Micros,
@@ -82,20 +86,33 @@
     tokio::time::timeout_at(clock.instant(by), answer).await.ok().flatten()
 }
 
-/// Follows the list from `revision` on.
-pub async fn follow(clock: Clock, address: Arc<str>, mut revision: i64, inputs: mpsc::Sender<Input>) {
+/// Follows the list from `revision` on, at whatever address is the newest.
+pub async fn follow(clock: Clock, mut address: Address, mut revision: i64, inputs: mpsc::Sender<Input>) {
     let mut kept = None;
     let mut gap = false;
     loop {
+        let Some(at) = address.borrow_and_update().clone() else {
+            if address.changed().await.is_err() {
+                return;
+            }
+            continue;
+        };
         let path = match gap {
             true => "/registry/instances".to_string(),
             false => format!("/registry/instances?index={revision}&wait={WATCH_MS}"),
         };
-        let request = Message::request("GET", &path).with("Host", &*address);
+        let request = Message::request("GET", &path).with("Host", &*at);
         // A whole list comes at once or, while discovery is down, not at all: it is then asked for anew.
         let wait = if gap { 0 } else { WATCH_MS * 1000 };
         let by = clock.now() + wait + SILENCE;
-        let answer = ask(clock, &address, &mut kept, &request, by).await;
+        let answer = tokio::select! {
+            answer = ask(clock, &at, &mut kept, &request, by) => answer,
+            // What the old address had left to tell, the new one tells with the whole list.
+            Ok(()) = address.changed() => {
+                (gap, kept) = (true, None);
+                continue;
+            }
+        };
         let answer = answer.filter(|answer| answer.start == Start::Response(200));
         let read = answer.map(|a| serde_json::from_slice::<Value>(&a.body).map_err(|e| e.to_string()));
         match read.map(|value| value.and_then(|value| told(&value))) {
@@ -118,38 +135,55 @@
                     eprintln!("tulipfall: discovery: {why}");
                 }
                 (gap, kept) = (true, None);
-                tokio::time::sleep_until(clock.instant(clock.now() + PAUSE)).await;
+                pause(clock, &mut address).await;
             }
         }
     }
 }
 
-/// Takes notices to the platform, each until it is acknowledged.
+/// Waits a little, or until there is another address.
+async fn pause(clock: Clock, address: &mut Address) {
+    tokio::select! {
+        () = tokio::time::sleep_until(clock.instant(clock.now() + PAUSE)) => {}
+        Ok(()) = address.changed() => {}
+    }
+}
+
+/// Takes notices to the newest address, each until it is acknowledged.
 pub async fn notify(
-    clock: Clock, address: Option<Arc<str>>, mut notices: mpsc::UnboundedReceiver<Notice>,
+    clock: Clock, mut address: Address, mut notices: mpsc::UnboundedReceiver<Notice>,
     inputs: mpsc::Sender<Input>,
 ) {
     let mut kept = None;
     let mut pending = Vec::new();
     while notices.recv_many(&mut pending, 64).await > 0 {
         let lines: String = pending.iter().map(line).collect();
-        while let Some(address) = &address {
-            let mut request = Message::request("POST", "/reports").with("Host", &**address);
+        loop {
+            let Some(at) = address.borrow_and_update().clone() else {
+                // With nobody to tell, an end is told by the record and the log.
+                eprint!("tulipfall: ended: {lines}");
+                break;
+            };
+            let mut request = Message::request("POST", "/reports").with("Host", &*at);
             request.body = lines.clone().into();
-            let answer = ask(clock, address, &mut kept, &request, clock.now() + SILENCE).await;
+            let by = clock.now() + SILENCE;
+            let answer = tokio::select! {
+                answer = ask(clock, &at, &mut kept, &request, by) => answer,
+                // What the old address may have heard does no harm at the new one.
+                Ok(()) = address.changed() => {
+                    kept = None;
+                    continue;
+                }
+            };
             match answer.map(|answer| answer.start) {
                 Some(Start::Response(204)) => break,
                 other => {
                     eprintln!("tulipfall: notices not acknowledged: {other:?}");
                     kept = None;
-                    tokio::time::sleep_until(clock.instant(clock.now() + PAUSE)).await;
+                    pause(clock, &mut address).await;
                 }
             }
         }
-        // With nobody to tell, an end is told by the record and the log.
-        if address.is_none() {
-            eprint!("tulipfall: ended: {lines}");
-        }
         let ids = pending.drain(..).map(|notice| notice.id).collect();
         if inputs.send(Input::Acknowledged(ids)).await.is_err() {
             return;
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -3,11 +3,15 @@
 //!
 //!     start KEY=VALUE ..      starts the program, with limits.disk_mb, slots or open_cap as given
 //!     kill | terminate | ends SIGKILL; SIGTERM; waits for its end, which must be a good one
+//!     hangs_up TEXT           replaces the configuration by a faulty text, or by one with options as at a start
+//!                             that names where the agent now is; then SIGHUP
+//!     logged TEXT             waits until the program's log says so
 //!     client N hands ID CLASS DEST LEFT_MS BODY    hands a message in; BODY *N is N bytes
 //!     client N sends TEXT     raw bytes; \r \n as written
 //!     client N hears          notes the answer
 //!     endpoint N accepts | hears | answers TEXT | closes    a call's connection, in the order accepted
 //!     agent hears_watch | answers_watch TEXT | drops_watch | hears_notice     discovery and notices
+//!     agent moves             to another address; what was open at the old one stays silent
 //!
 //! A step that does not come true fails at one far deadline; nothing sleeps.
 
@@ -55,6 +59,7 @@
     endpoints: Vec<TcpListener>,
     calls: HashMap<String, Vec<TcpStream>>,
     agent: Agent,
+    moved: Vec<Agent>,
     watch: Option<TcpStream>,
     listen: String,
     transcript: String,
@@ -109,6 +114,7 @@
             endpoints: listeners.collect(),
             calls: HashMap::new(),
             agent: Agent::new(),
+            moved: vec![],
             watch: None,
             listen: String::new(),
             transcript: String::new(),
@@ -171,6 +177,23 @@
                 self.clients.clear();
                 self.program = Some(program);
             }
+            ("hangs_up", _) => {
+                let words = line.split(' ').skip(1).collect::<Vec<_>>().join(" ");
+                let options = words.split(' ').filter_map(|word| word.split_once('=')).collect();
+                let text = match words.starts_with('{') {
+                    true => words,
+                    false => {
+                        let text = configuration(self, &options);
+                        text.replacen('{', &format!("{{\"discovery\":\"{}\",", self.agent.address), 1)
+                    }
+                };
+                std::fs::write(self.folder.join("config.json"), text).expect("a file");
+                self.program.as_ref().expect("a program").signal("-HUP");
+            }
+            ("logged", _) => {
+                let text = line.split_once(' ').map_or("", |(_, text)| text);
+                self.program.as_ref().expect("a program").logged(text);
+            }
             ("kill", _) => self.program.as_mut().expect("a program").kill(),
             ("terminate", _) => self.program.as_ref().expect("a program").terminate(),
             ("ends", _) => {
@@ -210,6 +233,10 @@
 
     fn agent_step(&mut self, what: &str, text: &str) {
         match what {
+            "moves" => {
+                let old = std::mem::replace(&mut self.agent, Agent::new());
+                self.moved.push(old);
+            }
             "hears_watch" => {
                 let (heard, stream) = self.agent.watches.recv_timeout(FAR).expect("a watch");
                 self.note("agent hears", Some(heard));
@@ -274,6 +301,7 @@
     list_after_a_gap
     stale_connection
     broken_after_the_last_byte
+    reloaded
 }
 
 /// Bodies that come at the same moment are admitted together, each as if the others were stored already: else
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -56,11 +56,16 @@
 
     /// SIGTERM; waits until the program has heard it.
     pub fn terminate(&self) {
-        let id = self.child.id().to_string();
-        Command::new("kill").args(["-TERM", &id]).status().expect("kill runs");
+        self.signal("-TERM");
         self.logged("stopping");
     }
 
+    /// Any signal.
+    pub fn signal(&self, signal: &str) {
+        let id = self.child.id().to_string();
+        Command::new("kill").args([signal, &id]).status().expect("kill runs");
+    }
+
     /// Waits until its log says so.
     pub fn logged(&self, text: &str) {
         while !self.log.recv_timeout(FAR).expect(text).contains(text) {}
