Take an answer's first line for what it says, and never what is left on a connection

Checked by recorded exchanges against the old code: a spoilt answer whose first line says 200 ended as a reset, 1xx answers as errors, one line that is no UTF-8 lost the answer; try_read goes by the event loop's view, so that a second copy could be read as the next call's answer; connections were pooled by address, which may pass to another endpoint; addresses and names of targets grew with every replacement. At fault: http.rs head, outbound.rs attempt, ask, idle and read; runtime.rs listed; wire.rs target. An id that is held or has just ended is never taken on again, and who hands it in again cannot withdraw it. Tests: spoilt_answers, replaced.

--- a/src/as2.rs
+++ b/src/as2.rs
@@ -21,7 +21,7 @@
 use crate::interface::{Micros, Outcome, Report};
 use crate::net::http::{Message, Start};
 use crate::net::inbound::MOST_BODY;
-use crate::net::outbound::{Connections, full};
+use crate::net::outbound::{Connections, Progress, full};
 use crate::store::Receipt;
 
 /// An AS2 message may have so many bytes: a body, its signature and the frame around both.
@@ -327,7 +327,7 @@
 
     /// One attempt: a signed message, and the receipt that proves it delivered. What is not proved may have run.
     pub async fn attempt(
-        &self, call: &OutboundCall, partner: &Partner, written: &mut bool,
+        &self, call: &OutboundCall, partner: &Partner, progress: &mut Progress,
     ) -> (Outcome, bool, Report) {
         let end = |outcome| (outcome, false, Report::default());
         let id = format!("<{}@{}>", call.exchange.id, self.identity.name);
@@ -339,7 +339,11 @@
             }
         };
         let waits = partner.asynchronous.then(|| self.wait(partner, &id, &mic));
-        let answer = match self.connections.ask(&call.address, &request, written).await {
+        let answer = match self
+            .connections
+            .ask(&(call.address.clone(), Some(call.target)), &request, progress)
+            .await
+        {
             Ok(answer) => answer,
             Err(outcome) => return end(outcome),
         };
@@ -523,7 +527,7 @@
             return Ok(Err(refusal("stopped")));
         }
         Ok(match answer.await {
-            Ok(Answer::Taken) => Ok(receipt),
+            Ok(Answer::Taken | Answer::TakenBefore) => Ok(receipt),
             Ok(Answer::Refused(why, _)) => Err(refusal(why)),
             Ok(Answer::Failed(why)) => Err(Message::response(500, why)),
             Err(_) => Err(refusal("stopped")),
@@ -546,12 +550,13 @@
         };
         let post = Message::request("POST", &path).with("Host", &*address);
         let post = self.with_receipt(post, partner, id, receipt);
-        let (connections, clock) = (self.connections.clone(), self.clock);
+        let (connections, clock, place) = (self.connections.clone(), self.clock, (address, None));
         tokio::spawn(async move {
             for _ in 0..RECEIPT_POSTS {
                 let by = clock.instant(clock.now() + RECEIPT_POST);
-                let mut written = false;
-                let asked = tokio::time::timeout_at(by, connections.ask(&address, &post, &mut written)).await;
+                let mut progress = Progress::default();
+                let asked = connections.ask(&place, &post, &mut progress);
+                let asked = tokio::time::timeout_at(by, asked).await;
                 if matches!(asked, Ok(Ok(answer)) if matches!(answer.start, Start::Response(200..=299))) {
                     return;
                 }
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -60,6 +60,8 @@
 pub enum Answer {
     /// Taken on: the relay owes it its end.
     Taken,
+    /// It was taken on before, by whomever it was handed in then.
+    TakenBefore,
     /// Fail-fast: handing it in again is harmless, best after so long.
     Refused(&'static str, Option<Micros>),
     /// Given up at once; nobody hands it in again.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -274,6 +274,8 @@
     ConnectFailed,
     /// The connection broke; may have taken effect.
     Reset,
+    /// Answered in a way that cannot be read; may have taken effect. It tells nothing of health or pace.
+    Spoilt,
     /// Called off; may have taken effect.
     Cancelled,
     /// Not sent at all; never ran. It counts as an attempt.
@@ -283,7 +285,8 @@
 impl Outcome {
     /// Whether an attempt that ended so, without delivery, may have taken effect or may still do so.
     pub fn may_have_run(self) -> bool {
-        matches!(self, Outcome::Error | Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled)
+        use Outcome::{Cancelled, Error, Reset, Spoilt, TimedOut};
+        matches!(self, Error | TimedOut | Reset | Spoilt | Cancelled)
     }
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -26,6 +26,8 @@
 const STOP_WITHIN: Micros = 2_500_000;
 /// Then the last answers are written within this.
 const ANSWER_WITHIN: Micros = 200_000;
+/// Descriptors for files, listening sockets and the agent.
+const FILES: usize = 24;
 /// Inputs on their way to the runtime.
 const INPUTS: usize = 1024;
 const USAGE: &str = "usage: tulipfall                        one relay; PROXY_CONFIG names its configuration
@@ -145,8 +147,12 @@
         let (busy, ready) = (AtomicUsize::new(0), AtomicBool::new(false));
         Arc::new(Inbound { clock, front, inputs, busy, ready, stopping })
     };
-    // Half of the descriptors for clients; the rest for endpoints, idle connections, files and the agent.
-    let most_clients = config.limits.sockets / 2;
+    // Half of the descriptors for clients, an eighth for AS2 partners. Of the rest, what calls, files and the agent
+    // do not need is for idle connections to endpoints.
+    let (most_clients, most_partners) = (config.limits.sockets / 2, config.limits.sockets / 8);
+    let partners = if config.as2.is_some() { most_partners } else { 0 };
+    let spoken_for = most_clients + partners + config.settings.slots as usize + FILES;
+    let most_idle = config.limits.sockets.saturating_sub(spoken_for);
 
     // Bound before the replay, so that clients wait for it rather than be turned away.
     let listener = listen(config.listen).await?;
@@ -157,7 +163,7 @@
 
     let (store, replay) = open(&config, clock.now()).await?;
     let settings = &config.settings;
-    let connections = Connections::new(clock, settings.connect_timeout, settings.connection_idle);
+    let connections = Connections::new(clock, settings.connect_timeout, settings.connection_idle, most_idle);
     let as2 = config.as2.take().map(|as2| {
         let receipts = replay.receipts.clone();
         let front = As2::new(as2.identity, clock, inputs.clone(), connections.clone(), receipts);
@@ -181,7 +187,7 @@
     if let Some((address, as2)) = as2 {
         let as2 = front(Front::As2(as2));
         as2.ready.store(true, Ordering::Relaxed);
-        tokio::spawn(serve(listen(address).await?, as2.clone(), most_clients / 4));
+        tokio::spawn(serve(listen(address).await?, as2.clone(), most_partners));
         fronts.push(as2);
     }
     tokio::spawn(async move {
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -8,6 +8,12 @@
 const MOST_HEAD: usize = 16 * 1024;
 /// And so many header lines.
 const MOST_HEADERS: usize = 64;
+/// The line of a chunk's size may have so many bytes.
+const MOST_CHUNK_LINE: usize = 256;
+/// So many interim answers may come before the real one.
+const MOST_INTERIM: usize = 16;
+/// A reading buffer that has grown over this is given back once nothing is left in it.
+const KEPT_BUFFER: usize = 16 * 1024;
 
 /// What could not be read.
 #[derive(Debug, thiserror::Error)]
@@ -121,8 +127,12 @@
         };
         let mut headers = Vec::new();
         for line in lines.iter().take_while(|line| !line.name.is_empty()) {
-            let value = std::str::from_utf8(line.value).map_err(|_| HttpError::Malformed("header value"))?;
-            headers.push((line.name.to_string(), value.trim().to_string()));
+            match std::str::from_utf8(line.value) {
+                Ok(value) => headers.push((line.name.to_string(), value.trim().to_string())),
+                Err(_) if self.reads_requests => return Err(HttpError::Malformed("header value")),
+                // One line of an answer that cannot be read, as of a load report, spoils that line alone.
+                Err(_) => {}
+            }
         }
         src.advance(used);
         let mut message = Message { start, headers, body: Bytes::new(), keep_alive: version == Some(1) };
@@ -135,8 +145,12 @@
             .filter(|(name, _)| name.eq_ignore_ascii_case("Content-Length"))
             .map(|(_, value)| value.as_str())
             .collect();
-        let coding = message.header("Transfer-Encoding").map(str::to_ascii_lowercase);
+        let mut codings = message.headers.iter().filter(|(n, _)| n.eq_ignore_ascii_case("Transfer-Encoding"));
+        let coding = codings.next().map(|(_, value)| value.to_ascii_lowercase());
         // Guards against two readers of one stream disagreeing on where a message ends.
+        if codings.next().is_some() {
+            return Err(HttpError::Malformed("several Transfer-Encodings"));
+        }
         if lengths.windows(2).any(|pair| pair[0] != pair[1]) || coding.is_some() && !lengths.is_empty() {
             return Err(HttpError::Malformed("conflicting lengths"));
         }
@@ -177,7 +191,12 @@
                 }
             }
             State::Sized(mut message, length) if src.len() >= length => {
-                message.body = src.split_to(length).freeze();
+                // Copied, so that a message which is held does not hold the connection's whole buffer.
+                message.body = Bytes::copy_from_slice(&src[..length]);
+                src.advance(length);
+                if src.is_empty() && src.capacity() > KEPT_BUFFER {
+                    *src = BytesMut::new();
+                }
                 Ok((false, Some(message)))
             }
             State::Chunked(message, mut body) => match httparse::parse_chunk_size(src) {
@@ -202,6 +221,9 @@
                     self.state = State::Chunked(message, body);
                     Ok((true, None))
                 }
+                Ok(httparse::Status::Partial) if src.len() > MOST_CHUNK_LINE => {
+                    Err(HttpError::Malformed("chunk size"))
+                }
                 Ok(_) => {
                     self.state = State::Chunked(message, body);
                     Ok((false, None))
@@ -276,6 +298,99 @@
     }
 }
 
+/// What comes of an answer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Part {
+    /// The status of its first line, as soon as that line has come.
+    First(u16),
+    /// All of it.
+    Whole(Message),
+}
+
+/// Frames the connection of a caller to whom an answer's first line may tell enough, whatever follows it.
+/// Interim answers (1xx) before the real one are passed over.
+pub struct AnswerCodec {
+    codec: Codec,
+    told: bool,
+}
+
+impl AnswerCodec {
+    /// Reads answers with bodies of so many bytes at most.
+    pub fn new(most_body: usize) -> Self {
+        AnswerCodec { codec: Codec::client(most_body), told: false }
+    }
+
+    /// The status of the real answer's first line, once it is there.
+    fn first(src: &mut BytesMut) -> Result<Option<u16>, HttpError> {
+        const START: &[u8] = b"HTTP/1.";
+        for _ in 0..=MOST_INTERIM {
+            let known = src.len().min(START.len());
+            if src[..known] != START[..known] {
+                return Err(HttpError::Malformed("no answer"));
+            }
+            let Some(end) = src.iter().position(|byte| *byte == b'\n') else { return partial(src) };
+            let line = src[START.len().min(end)..end].trim_ascii_end();
+            let status = match line {
+                [b'0' | b'1', b' ', code @ ..] if code.len() == 3 || code.get(3) == Some(&b' ') => {
+                    std::str::from_utf8(&code[..3]).ok().and_then(|code| code.parse::<u16>().ok())
+                }
+                _ => None,
+            };
+            let status = status.filter(|status| (100..600).contains(status));
+            let status = status.ok_or(HttpError::Malformed("first line"))?;
+            if status >= 200 {
+                return Ok(Some(status));
+            }
+            let mut lines = [httparse::EMPTY_HEADER; MOST_HEADERS];
+            let interim = httparse::Response::new(&mut lines).parse(src);
+            match interim.map_err(|_| HttpError::Malformed("interim answer"))? {
+                httparse::Status::Partial => return partial(src),
+                httparse::Status::Complete(used) => src.advance(used),
+            }
+        }
+        Err(HttpError::Malformed("too many interim answers"))
+    }
+
+    fn part(
+        &mut self, src: &mut BytesMut,
+        read: impl Fn(&mut Codec, &mut BytesMut) -> Result<Option<Message>, HttpError>,
+    ) -> Result<Option<Part>, HttpError> {
+        if !self.told {
+            let first = Self::first(src)?;
+            self.told = first.is_some();
+            return Ok(first.map(Part::First));
+        }
+        let whole = read(&mut self.codec, src)?;
+        self.told = whole.is_none();
+        Ok(whole.map(Part::Whole))
+    }
+}
+
+impl Decoder for AnswerCodec {
+    type Item = Part;
+    type Error = HttpError;
+
+    fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Part>, HttpError> {
+        self.part(src, Codec::decode)
+    }
+
+    fn decode_eof(&mut self, src: &mut BytesMut) -> Result<Option<Part>, HttpError> {
+        let part = self.part(src, Codec::decode_eof)?;
+        match part {
+            None if !src.is_empty() || self.told => Err(HttpError::Malformed("ended early")),
+            part => Ok(part),
+        }
+    }
+}
+
+impl Encoder<&Message> for AnswerCodec {
+    type Error = HttpError;
+
+    fn encode(&mut self, message: &Message, dst: &mut BytesMut) -> Result<(), HttpError> {
+        self.codec.encode(message, dst)
+    }
+}
+
 impl Encoder<&Message> for Codec {
     type Error = HttpError;
 
@@ -315,6 +430,7 @@
         403 => "Forbidden",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        408 => "Request Timeout",
         413 => "Content Too Large",
         429 => "Too Many Requests",
         500 => "Internal Server Error",
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -160,6 +160,8 @@
     }
     match answer.await {
         Ok(Answer::Taken) => (Message::response(202, ""), Some(id)),
+        // Whoever hands in what is held already must not withdraw it by going away.
+        Ok(Answer::TakenBefore) => (Message::response(202, ""), None),
         Ok(Answer::Refused(why, after)) => {
             let answer = Message::response(503, why);
             let answer = match after {
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -2,7 +2,7 @@
 //! into actions. It deals in requests, attempts and outcomes. It must never decide what the module decides,
 //! know a wire, or let an answer or a call out before the store holds what these rest on.
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 use tokio::sync::{mpsc, oneshot};
@@ -18,12 +18,16 @@
 /// After a stop new connections still come for so long.
 const LINGER: Micros = 500_000;
 
+/// An id that ended is known for so long, and so many of them are.
+const ENDED_FOR: Micros = 15_000_000;
+const MOST_ENDED: usize = 4096;
+
 /// The endpoints' side, as the runtime sees it.
 pub trait Caller: Send {
     /// Starts a call, whose end comes as an input; firing the handle calls it off.
     fn call(&self, call: OutboundCall) -> oneshot::Sender<()>;
-    /// Closes the idle connections to an address.
-    fn close(&self, address: &str);
+    /// Closes the idle connections to an endpoint.
+    fn close(&self, target: TargetId);
 }
 
 /// A message that is held.
@@ -36,13 +40,35 @@
     withdrawn: bool,
 }
 
+/// The ids that ended last. Guards against taking on once more, from whomever, what has just had its end.
+#[derive(Default)]
+struct EndedIds {
+    order: VecDeque<(Micros, Arc<str>)>,
+    ids: HashSet<Arc<str>>,
+}
+
+impl EndedIds {
+    fn remember(&mut self, now: Micros, id: &str) {
+        let old = |at: Micros, n: usize| at + ENDED_FOR <= now || n > MOST_ENDED;
+        while self.order.front().is_some_and(|(at, _)| old(*at, self.order.len())) {
+            if let Some((_, id)) = self.order.pop_front() {
+                self.ids.remove(&id);
+            }
+        }
+        let id: Arc<str> = id.into();
+        if self.ids.insert(id.clone()) {
+            self.order.push_back((now, id));
+        }
+    }
+}
+
 /// What is let out once the store holds the records of the same batch.
 enum Effect {
     Answer(oneshot::Sender<Answer>, Answer),
     Call(MessageId, OutboundCall),
     CallOff(MessageId, u32),
     Notice(Notice),
-    Close(Arc<str>),
+    Close(TargetId),
 }
 
 /// The runtime of one relay.
@@ -66,6 +92,7 @@
     effects: Vec<Effect>,
     /// Notices sent and not acknowledged.
     owed: HashSet<String>,
+    ended: EndedIds,
     /// When the stop was asked for, and by when the last call must have ended.
     stop: Option<(Micros, Micros)>,
 }
@@ -94,6 +121,7 @@
             unwritten: 0,
             effects: Vec::new(),
             owed: HashSet::new(),
+            ended: EndedIds::default(),
             stop: None,
         }
     }
@@ -193,8 +221,9 @@
         // What the batch has taken on so far is not in the store yet, and counts all the same.
         let bytes = exchange.body.len() + receipt.as_ref().map_or(0, |receipt| receipt.bytes.len());
         let bytes = bytes + TO_END as usize;
-        let refusal = if self.ids.contains_key(&exchange.id) {
-            Some(Answer::Taken)
+        let refusal = if self.ids.contains_key(&exchange.id) || self.ended.ids.contains(exchange.id.as_str())
+        {
+            Some(Answer::TakenBefore)
         } else if !self.destinations.contains(&exchange.destination) {
             Some(Answer::Refused("unknown dest", None))
         } else if self.held.len() >= self.max_held {
@@ -285,14 +314,23 @@
 
     fn listed(&mut self, form: ListForm, members: Vec<Member>) {
         let mut raw = Vec::new();
+        let mut gone: HashSet<TargetId> = HashSet::new();
+        if form == ListForm::All {
+            gone.extend(self.addresses.keys());
+        }
         for member in members {
             let target = self.names.target(&member.id);
             self.destinations.insert(member.entry.cell());
+            if member.entry.listed() == Listed::Gone {
+                gone.insert(target);
+            } else {
+                gone.remove(&target);
+            }
             // The id is the endpoint; where it listens may change, and the old connections go nowhere then.
             if let Some(old) = self.addresses.insert(target, member.address.clone())
                 && old != member.address
             {
-                self.effects.push(Effect::Close(old));
+                self.effects.push(Effect::Close(target));
             }
             raw.push(member.entry);
         }
@@ -303,6 +341,13 @@
         });
         let entries = read.flatten().collect();
         self.handle(Event::List(form, entries));
+        // Endpoints are replaced for as long as the process lives. The module sends nothing to one that is gone,
+        // and a call that is out knows its address.
+        for target in gone {
+            self.addresses.remove(&target);
+            self.names.forget(target);
+            self.effects.push(Effect::Close(target));
+        }
     }
 
     fn handle(&mut self, event: Event) {
@@ -322,10 +367,7 @@
                 Action::Timer { token, after } => {
                     self.timers.insert((now + after, token));
                 }
-                Action::Close(target) => {
-                    let address = self.addresses.get(&target).cloned();
-                    self.effects.extend(address.map(Effect::Close));
-                }
+                Action::Close(target) => self.effects.push(Effect::Close(target)),
                 // The platform's settings permit no probes, and the list is always watched.
                 Action::Probe(_) | Action::Watch => {}
             }
@@ -350,6 +392,7 @@
     }
 
     fn over(&mut self, id: String, notice: Option<Notice>) {
+        self.ended.remember(self.clock.now(), &id);
         if let Some(notice) = notice.clone() {
             self.owed.insert(id.clone());
             self.effects.push(Effect::Notice(notice));
@@ -387,7 +430,7 @@
                     }
                 }
                 Effect::Notice(notice) => drop(self.notices.send(notice)),
-                Effect::Close(address) => self.caller.close(&address),
+                Effect::Close(target) => self.caller.close(target),
             }
         }
         Ok(())
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -121,6 +121,11 @@
         RawEntry { kind, listed, cell, zone, scale, target }
     }
 
+    /// Whether it takes new work.
+    pub fn listed(&self) -> Listed {
+        self.listed
+    }
+
     /// The destination's number.
     pub fn cell(&self) -> i64 {
         self.cell
@@ -176,7 +181,8 @@
     zones: Vec<String>,
     tenants: Vec<String>,
     targets: BTreeMap<String, TargetId>,
-    target_names: Vec<String>,
+    target_names: BTreeMap<TargetId, String>,
+    targets_met: u32,
     messages: BTreeMap<String, MessageId>,
     /// Name, open, attempts out: forgotten when it is neither open nor out.
     open: BTreeMap<MessageId, (String, bool, u32)>,
@@ -333,12 +339,20 @@
         if let Some(id) = self.targets.get(name) {
             return *id;
         }
-        let id = TargetId(self.target_names.len() as u32);
-        self.target_names.push(name.to_string());
+        let id = TargetId(self.targets_met);
+        self.targets_met += 1;
+        self.target_names.insert(id, name.to_string());
         self.targets.insert(name.to_string(), id);
         id
     }
 
+    /// Forgets an endpoint that is gone. Listed once more, it gets a new number.
+    pub fn forget(&mut self, target: TargetId) {
+        if let Some(name) = self.target_names.remove(&target) {
+            self.targets.remove(&name);
+        }
+    }
+
     fn settle(&mut self, id: MessageId) {
         if let Some((name, open, out)) = self.open.get(&id)
             && !open
@@ -440,7 +454,7 @@
     /// Writes an action of this instance as a line.
     pub fn action(&mut self, who: u64, action: &Action, out: &mut String) {
         let name = |id: &MessageId| self.open.get(id).map_or("-", |state| state.0.as_str());
-        let target = |id: &TargetId| self.target_names.get(id.0 as usize).map_or("-", String::as_str);
+        let target = |id: &TargetId| self.target_names.get(id).map_or("-", String::as_str);
         let _ = match action {
             Action::Send { id, target: to, timeout } => {
                 writeln!(out, "TRY {who} {} {} {timeout}", name(id), target(to))
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -7,7 +7,7 @@
 //!                             that names where the agent now is; then SIGHUP
 //!     logged TEXT             waits until the program's log says so
 //!     client N hands ID CLASS DEST LEFT_MS BODY    hands a message in; BODY *N is N bytes
-//!     client N sends TEXT     raw bytes; \r \n as written
+//!     client N sends TEXT     raw bytes; \r \n \xNN as written
 //!     client N hears          notes the answer
 //!     endpoint N accepts | hears | answers TEXT | closes    a call's connection, in the order accepted
 //!     agent hears_watch | answers_watch TEXT | drops_watch | hears_notice     discovery and notices
@@ -100,8 +100,20 @@
     .to_string()
 }
 
+/// What `\r`, `\n` and `\xNN` stand for.
 fn bytes(text: &str) -> Vec<u8> {
-    text.replace("\\r", "\r").replace("\\n", "\n").into_bytes()
+    let mut parts = text.split('\\');
+    let mut bytes = parts.next().unwrap_or_default().as_bytes().to_vec();
+    for part in parts {
+        let (byte, rest) = match part.split_at(1) {
+            ("r", rest) => (b'\r', rest),
+            ("n", rest) => (b'\n', rest),
+            _ => (u8::from_str_radix(&part[1..3], 16).expect("a byte"), &part[3..]),
+        };
+        bytes.push(byte);
+        bytes.extend_from_slice(rest.as_bytes());
+    }
+    bytes
 }
 
 impl Play {
@@ -302,6 +314,8 @@
     stale_connection
     broken_after_the_last_byte
     reloaded
+    spoilt_answers
+    replaced
 }
 
 /// Bodies that come at the same moment are admitted together, each as if the others were stored already: else
