Give places to connections that use them, and every bad request an answer that arrives

Checked: descriptors (247 of 384, clients at their half) and the accept loop: 1152 connections asked once and stayed, 810 never sent a whole request, each held its place for 90 s, and accept waited for one. Ruled out: CPU (0.08 s in the worst second) and memory (6 MB). Now a whole request has one absolute deadline of 2.5 s; places are taken back early in a crowd, never from an open request; the last answer is followed by a half-close and a bounded drain; bodies being read share a budget. Tests: bad_lengths, a_crowd_that_says_nothing_keeps_nobody_out, the_answer_to_an_endless_body_arrives.

--- a/src/config.rs
+++ b/src/config.rs
@@ -44,6 +44,8 @@
     pub sockets: usize,
     /// Bytes in the folder that lasts.
     pub disk: u64,
+    /// Bytes of memory.
+    pub memory: usize,
 }
 
 /// Where the record is kept.
@@ -104,8 +106,9 @@
 
 /// Sockets where no limit is told.
 const SOCKETS: u64 = 1024;
-/// Megabytes where no limit is told.
+/// Megabytes on the disk and in memory where no limit is told.
 const DISK_MB: f64 = 64.0;
+const MEMORY_MB: f64 = 192.0;
 /// Days for which a database keeps what is finished, and receipts are remembered.
 const KEEP_DAYS: f64 = 30.0;
 const DAY: Micros = 86_400_000_000;
@@ -175,6 +178,7 @@
         let limits = Limits {
             sockets: number("sockets", 32.0, SOCKETS as f64)? as usize,
             disk: (number("disk_mb", 1.0, DISK_MB)? * MB) as u64,
+            memory: (number("memory_mb", 16.0, MEMORY_MB)? * MB) as usize,
         };
         let settings = value.get("settings").ok_or_else(|| bad("settings", "is missing"))?;
         let mut pairs = Vec::new();
@@ -349,12 +353,16 @@
         let (settings, names) = read_settings(&settings)?;
         let known = Some(told(&known).map_err(|why| bad("destination", why))?);
         let limits = match top.table("limits")? {
-            None => Limits { sockets: SOCKETS as usize, disk: (DISK_MB * MB) as u64 },
+            None => {
+                let (disk, memory) = ((DISK_MB * MB) as u64, (MEMORY_MB * MB) as usize);
+                Limits { sockets: SOCKETS as usize, disk, memory }
+            }
             Some(table) => {
                 let sockets = table.number("sockets", 32.0, Some(SOCKETS as f64))? as usize;
                 let disk = (table.number("disk_mb", 1.0, Some(DISK_MB))? * MB) as u64;
+                let memory = (table.number("memory_mb", 16.0, Some(MEMORY_MB))? * MB) as usize;
                 table.finish()?;
-                Limits { sockets, disk }
+                Limits { sockets, disk, memory }
             }
         };
         let (store, keep) = match top.table("store")? {
--- a/src/main.rs
+++ b/src/main.rs
@@ -16,6 +16,7 @@
 use tulipfall::exchange::{Clock, Input};
 use tulipfall::interface::Micros;
 use tulipfall::net::discovery;
+use tulipfall::net::http::Budget;
 use tulipfall::net::inbound::{Front, Inbound, Vocabulary, serve};
 use tulipfall::net::outbound::{Connections, Outbound};
 use tulipfall::rules::Relay;
@@ -26,6 +27,9 @@
 const STOP_WITHIN: Micros = 2_500_000;
 /// Then the last answers are written within this.
 const ANSWER_WITHIN: Micros = 200_000;
+/// The parts of the memory for bodies that are being read, and for those that are held.
+const MEMORY_READING: usize = 8;
+const MEMORY_HELD: usize = 4;
 /// Descriptors for files, listening sockets and the agent.
 const FILES: usize = 24;
 /// Inputs on their way to the runtime.
@@ -142,10 +146,11 @@
     let (inputs, received) = mpsc::channel(INPUTS);
     let (notices, owed) = mpsc::unbounded_channel();
     let (stop, stopping) = watch::channel(false);
+    let budget = Budget::new(config.limits.memory / MEMORY_READING);
     let front = |front| {
         let (inputs, stopping) = (inputs.clone(), stopping.clone());
         let (busy, ready) = (AtomicUsize::new(0), AtomicBool::new(false));
-        Arc::new(Inbound { clock, front, inputs, busy, ready, stopping })
+        Arc::new(Inbound { clock, front, inputs, budget: budget.clone(), busy, ready, stopping })
     };
     // Half of the descriptors for clients, an eighth for AS2 partners. Of the rest, what calls, files and the agent
     // do not need is for idle connections to endpoints.
@@ -174,7 +179,8 @@
     let (messages, pending) = (replay.messages.len(), replay.notices.len());
     let relay = Relay::new(config.settings.clone(), config.seed)?;
     let names = std::mem::take(&mut config.names);
-    let mut runtime = Runtime::new(clock, relay, names, &config.settings, store, caller, notices);
+    let most = (config.settings.max_held as usize, config.limits.memory / MEMORY_HELD);
+    let mut runtime = Runtime::new(clock, relay, names, most, store, caller, notices);
     let known = config.known.take();
     let revision = known.as_ref().map_or(0, |known| known.revision);
     runtime.resume(known.map(|known| known.members).unwrap_or_default(), replay).await?;
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -1,6 +1,9 @@
 //! HTTP/1.1 framing: bytes to messages and back, as tokio-util codecs over httparse. Owns the limits on what
 //! is read into memory. It must never open a socket, know a path or tell what a status means.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
 use bytes::{Buf, Bytes, BytesMut};
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -24,6 +27,12 @@
     /// The body is over the limit.
     #[error("the body is over {0} bytes")]
     TooLarge(usize),
+    /// There is no memory left for its body just now.
+    #[error("as many bytes being read as may be")]
+    NoMemory,
+    /// It did not come in time.
+    #[error("the request did not come in time")]
+    Late,
     /// The connection broke.
     #[error("connection: {0}")]
     Io(#[from] std::io::Error),
@@ -85,22 +94,54 @@
     UntilEnd(Message),
 }
 
+/// The bytes that bodies which are being read may take, on all connections together.
+#[derive(Debug)]
+pub struct Budget(AtomicUsize);
+
+/// A part of a budget, given back when it is dropped.
+struct Share {
+    of: Arc<Budget>,
+    bytes: usize,
+}
+
+impl Budget {
+    /// Of so many bytes.
+    pub fn new(bytes: usize) -> Arc<Self> {
+        Arc::new(Budget(AtomicUsize::new(bytes)))
+    }
+
+    fn share(self: &Arc<Self>, bytes: usize) -> Result<Share, HttpError> {
+        let left = |left: usize| left.checked_sub(bytes);
+        let taken = self.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, left);
+        taken.map(|_| Share { of: self.clone(), bytes }).map_err(|_| HttpError::NoMemory)
+    }
+}
+
+impl Drop for Share {
+    fn drop(&mut self) {
+        self.of.0.fetch_add(self.bytes, Ordering::Relaxed);
+    }
+}
+
 /// Frames one side of a connection.
 pub struct Codec {
     reads_requests: bool,
     most_body: usize,
+    budget: Option<Arc<Budget>>,
+    /// The part of the budget that the body being read takes.
+    share: Option<Share>,
     state: State,
 }
 
 impl Codec {
-    /// For a connection on which requests come in.
-    pub fn server(most_body: usize) -> Self {
-        Codec { reads_requests: true, most_body, state: State::Head }
+    /// For a connection on which requests come in, with bodies of so many bytes at most.
+    pub fn server(most_body: usize, budget: Arc<Budget>) -> Self {
+        Codec { reads_requests: true, budget: Some(budget), ..Codec::client(most_body) }
     }
 
     /// For a connection on which responses come in.
     pub fn client(most_body: usize) -> Self {
-        Codec { reads_requests: false, most_body, state: State::Head }
+        Codec { reads_requests: false, most_body, budget: None, share: None, state: State::Head }
     }
 
     fn head(&mut self, src: &mut BytesMut) -> Result<Option<State>, HttpError> {
@@ -158,6 +199,7 @@
             if coding != "chunked" {
                 return Err(HttpError::Malformed("unknown Transfer-Encoding"));
             }
+            self.share(self.most_body)?;
             return Ok(Some(State::Chunked(message, BytesMut::new())));
         }
         if let Some(length) = lengths.first() {
@@ -167,6 +209,7 @@
             if length > self.most_body {
                 return Err(HttpError::TooLarge(self.most_body));
             }
+            self.share(length)?;
             return Ok(Some(State::Sized(message, length)));
         }
         let empty = self.reads_requests
@@ -174,6 +217,11 @@
         Ok(Some(if empty { State::Sized(message, 0) } else { State::UntilEnd(message) }))
     }
 
+    fn share(&mut self, bytes: usize) -> Result<(), HttpError> {
+        self.share = self.budget.as_ref().map(|budget| budget.share(bytes)).transpose()?;
+        Ok(())
+    }
+
     /// One step; `true` when the state moved on and another may follow.
     fn step(&mut self, src: &mut BytesMut, ended: bool) -> Result<(bool, Option<Message>), HttpError> {
         let state = std::mem::replace(&mut self.state, State::Head);
@@ -278,6 +326,9 @@
         loop {
             let (again, message) = self.step(src, false)?;
             if !again {
+                if message.is_some() {
+                    self.share = None;
+                }
                 return Ok(message);
             }
         }
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -1,15 +1,19 @@
 //! The client's side of the platform's front: accepts connections, reads what is handed in, answers. Owns the
-//! listening socket and every client connection. It must never choose an endpoint or hold a message back.
+//! listening socket and every client connection, and whose place goes to whom when there are few. It must never
+//! choose an endpoint, hold a message back, or end a connection on which a request waits for its answer.
 
-use std::sync::Arc;
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use futures_util::{SinkExt, StreamExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc, oneshot, watch};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio_util::codec::Framed;
 
-use super::http::{Codec, HttpError, Message, Start};
+use super::http::{Budget, Codec, HttpError, Message, Start};
+use super::quiet;
 use crate::as2::{As2, MOST_MESSAGE};
 use crate::exchange::{Answer, Clock, Exchange, Input};
 use crate::interface::Micros;
@@ -18,8 +22,25 @@
 pub const MOST_BODY: usize = 64 * 1024;
 /// An id may have so many bytes.
 const MOST_ID: usize = 64;
-/// A connection on which nothing came for so long is closed.
-const IDLE: Micros = 90_000_000;
+/// A whole request has to come within this of its first byte, or of its connection where it is the first.
+const WHOLE_WITHIN: Micros = 2_500_000;
+/// The same where partners far away hand in.
+const PARTNERS_WITHIN: Micros = 30_000_000;
+/// A connection on which nothing came for so long between requests is closed.
+const IDLE: Micros = 30_000_000;
+/// Once half of the places are taken, after this.
+const IDLE_IN_A_CROWD: Micros = 2_000_000;
+/// Once all are taken, a connection on which nothing ever came is closed after this ...
+const SILENT: Micros = 100_000;
+/// ... and one whose request is not whole after this.
+const SLOW: Micros = 500_000;
+/// While there is no place, it is looked for one so often.
+const LOOK_AGAIN: Micros = 10_000;
+/// An answer is written within this, or not at all.
+const ANSWER_WITHIN: Micros = 1_000_000;
+/// After the last answer what still comes is read for so long, and so many bytes of it.
+const DRAIN_WITHIN: Micros = 1_000_000;
+const MOST_DRAINED: usize = 4 * 1024 * 1024;
 
 /// What the client's side knows of the site: names, as the settings have them.
 #[derive(Clone, Debug, Default)]
@@ -46,6 +67,8 @@
     pub front: Front,
     /// To the runtime.
     pub inputs: mpsc::Sender<Input>,
+    /// Memory for bodies that are being read.
+    pub budget: Arc<Budget>,
     /// Requests that were read and not answered yet.
     pub busy: AtomicUsize,
     /// Set once the store has been replayed.
@@ -54,23 +77,129 @@
     pub stopping: watch::Receiver<bool>,
 }
 
+/// What a connection is at.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    /// Nothing has come yet.
+    New,
+    /// A request is coming.
+    Reading,
+    /// A request waits for its answer.
+    Open,
+    /// The last request was answered.
+    Between,
+    /// The last answer was given; what still comes is of no use.
+    Leaving,
+}
+
+struct Guest {
+    stage: Stage,
+    since: Micros,
+    /// Asked to leave at this stage.
+    asked: bool,
+    leave: Arc<Notify>,
+}
+
+/// The places for connections of one listening socket.
+struct Places {
+    clock: Clock,
+    most: usize,
+    next: AtomicUsize,
+    guests: Mutex<HashMap<usize, Guest>>,
+    freed: Notify,
+}
+
+impl Places {
+    fn guests(&self) -> MutexGuard<'_, HashMap<usize, Guest>> {
+        self.guests.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Asks those to leave who hold a place for nothing; tells whether one is free.
+    fn look(&self) -> bool {
+        let now = self.clock.now();
+        let mut guests = self.guests();
+        let taken = guests.len();
+        let (crowded, full) = (taken > self.most / 2, taken >= self.most);
+        for guest in guests.values_mut().filter(|guest| !guest.asked) {
+            let stays = match guest.stage {
+                Stage::Open => Micros::MAX,
+                Stage::Between if crowded => IDLE_IN_A_CROWD,
+                Stage::New | Stage::Leaving if full => SILENT,
+                Stage::Reading if full => SLOW,
+                _ => Micros::MAX,
+            };
+            if now - guest.since >= stays {
+                guest.asked = true;
+                guest.leave.notify_one();
+            }
+        }
+        !full
+    }
+
+    fn enter(self: &Arc<Self>) -> Place {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let leave = Arc::new(Notify::new());
+        let guest = Guest { stage: Stage::New, since: self.clock.now(), asked: false, leave: leave.clone() };
+        self.guests().insert(number, guest);
+        Place { places: self.clone(), number, leave }
+    }
+}
+
+/// A connection's place, free again once this is dropped.
+struct Place {
+    places: Arc<Places>,
+    number: usize,
+    leave: Arc<Notify>,
+}
+
+impl Place {
+    fn at(&self, stage: Stage) {
+        let now = self.places.clock.now();
+        if let Some(guest) = self.places.guests().get_mut(&self.number) {
+            (guest.stage, guest.since, guest.asked) = (stage, now, false);
+        }
+    }
+
+    /// Comes when this place is wanted for another.
+    async fn wanted(&self) {
+        loop {
+            self.leave.notified().await;
+            // One that was asked for at an earlier stage may stay.
+            if self.places.guests().get(&self.number).is_some_and(|guest| guest.asked) {
+                return;
+            }
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.places.guests().remove(&self.number);
+        self.places.freed.notify_one();
+    }
+}
+
 /// Accepts connections, at most `most` at a time, until the process ends.
 pub async fn serve(listener: TcpListener, inbound: Arc<Inbound>, most: usize) {
-    let places = Arc::new(Semaphore::new(most));
+    let clock = inbound.clock;
+    let (next, guests, freed) = (AtomicUsize::new(0), Mutex::default(), Notify::new());
+    let places = Arc::new(Places { clock, most, next, guests, freed });
     loop {
-        let Ok(place) = places.clone().acquire_owned().await else { return };
+        while !places.look() {
+            tokio::select! {
+                () = places.freed.notified() => {}
+                () = tokio::time::sleep_until(clock.instant(clock.now() + LOOK_AGAIN)) => {}
+            }
+        }
         match listener.accept().await {
             Ok((stream, _)) => {
-                let inbound = inbound.clone();
-                tokio::spawn(async move {
-                    connection(stream, &inbound).await;
-                    drop(place);
-                });
+                let (inbound, place) = (inbound.clone(), places.enter());
+                tokio::spawn(async move { connection(stream, &inbound, &place).await });
             }
             // Guards against a spin while descriptors are short: the others go on.
             Err(error) => {
                 eprintln!("tulipfall: accept: {error}");
-                tokio::time::sleep_until(inbound.clock.instant(inbound.clock.now() + 10_000)).await;
+                tokio::time::sleep_until(clock.instant(clock.now() + LOOK_AGAIN)).await;
             }
         }
     }
@@ -86,27 +215,61 @@
     }
 }
 
-async fn connection(stream: TcpStream, inbound: &Inbound) {
+async fn connection(stream: TcpStream, inbound: &Inbound, place: &Place) {
+    let clock = inbound.clock;
     let _ = stream.set_nodelay(true);
-    let most = if matches!(inbound.front, Front::As2(_)) { MOST_MESSAGE } else { MOST_BODY };
-    let mut framed = Framed::new(stream, Codec::server(most));
+    let (most, within) = match inbound.front {
+        Front::As2(_) => (MOST_MESSAGE, PARTNERS_WITHIN),
+        Front::Platform(_) => (MOST_BODY, WHOLE_WITHIN),
+    };
+    let mut framed = Framed::new(stream, Codec::server(most, inbound.budget.clone()));
     let mut stopping = inbound.stopping.clone();
+    // The first request is owed something within a time that counts from the connection, later ones from their
+    // first byte.
+    let mut first_by = Some(clock.now() + within);
+    let mut silent_until = clock.now() + within;
     loop {
-        let idle = inbound.clock.instant(inbound.clock.now() + IDLE);
+        if framed.read_buffer().is_empty() {
+            let mut byte = [0];
+            let comes = tokio::select! {
+                biased;
+                peeked = framed.get_ref().peek(&mut byte) => matches!(peeked, Ok(1..)),
+                () = place.wanted() => !quiet(framed.get_ref()),
+                () = tokio::time::sleep_until(clock.instant(silent_until)) => !quiet(framed.get_ref()),
+            };
+            if !comes {
+                return;
+            }
+        }
+        place.at(Stage::Reading);
+        let by = first_by.take().unwrap_or(clock.now() + within);
         let next = tokio::select! {
+            biased;
             next = framed.next() => next,
-            () = tokio::time::sleep_until(idle) => return,
+            () = place.wanted() => return,
+            () = tokio::time::sleep_until(clock.instant(by)) => Some(Err(HttpError::Late)),
         };
         let (mut answer, taken) = match next {
             None | Some(Err(HttpError::Io(_))) => return,
             Some(Err(error)) => {
-                let status = if matches!(error, HttpError::TooLarge(_)) { 413 } else { 400 };
+                let status = match error {
+                    HttpError::TooLarge(_) => 413,
+                    HttpError::NoMemory => 503,
+                    HttpError::Late => 408,
+                    _ => 400,
+                };
                 let mut answer = Message::response(status, error.to_string());
                 answer.keep_alive = false;
-                let _ = framed.send(&answer).await;
-                return;
+                return last(clock, framed, answer, place).await;
+            }
+            // Guards against a length that is too short: what follows it was meant as part of the body.
+            Some(Ok(_)) if !may_begin(framed.read_buffer()) => {
+                let mut answer = Message::response(400, "malformed: bytes after the body");
+                answer.keep_alive = false;
+                return last(clock, framed, answer, place).await;
             }
             Some(Ok(request)) => {
+                place.at(Stage::Open);
                 let keep_alive = request.keep_alive;
                 inbound.busy.fetch_add(1, Ordering::Relaxed);
                 let (mut answer, taken) = route(request, inbound).await;
@@ -115,16 +278,56 @@
             }
         };
         answer.keep_alive &= !*stopping.borrow_and_update();
-        let sent = framed.send(&answer).await;
+        let until = clock.instant(clock.now() + ANSWER_WITHIN);
+        let sent = tokio::time::timeout_at(until, framed.send(&answer)).await;
         inbound.busy.fetch_sub(1, Ordering::Relaxed);
-        if sent.is_err() {
+        if !matches!(sent, Ok(Ok(()))) {
             if let Some(id) = taken {
                 let _ = inbound.inputs.send(Input::Withdrawn(id)).await;
             }
             return;
         }
         if !answer.keep_alive {
-            return;
+            return drain(clock, framed.into_inner(), place).await;
+        }
+        place.at(Stage::Between);
+        silent_until = clock.now() + IDLE;
+    }
+}
+
+/// Whether bytes after a request may be the next one: none, or a method.
+fn may_begin(bytes: &[u8]) -> bool {
+    let line = bytes.trim_ascii_start();
+    let method = line.split(|byte| *byte == b' ').next().unwrap_or_default();
+    method.len() <= 16 && method.iter().all(u8::is_ascii_uppercase)
+}
+
+/// The last answer of a connection whose other side may still be sending.
+async fn last(clock: Clock, mut framed: Framed<TcpStream, Codec>, answer: Message, place: &Place) {
+    place.at(Stage::Leaving);
+    let until = clock.instant(clock.now() + ANSWER_WITHIN);
+    if matches!(tokio::time::timeout_at(until, framed.send(&answer)).await, Ok(Ok(()))) {
+        drain(clock, framed.into_inner(), place).await;
+    }
+}
+
+/// Ends a connection so that its last answer arrives: closed with bytes unread, it would be reset, and the answer
+/// might be lost with it.
+async fn drain(clock: Clock, mut stream: TcpStream, place: &Place) {
+    place.at(Stage::Leaving);
+    if stream.shutdown().await.is_err() {
+        return;
+    }
+    let (mut bytes, mut left) = (vec![0; 16 * 1024], MOST_DRAINED);
+    let until = clock.instant(clock.now() + DRAIN_WITHIN);
+    loop {
+        tokio::select! {
+            read = stream.read(&mut bytes) => match read {
+                Ok(n @ 1..) if n < left => left -= n,
+                _ => return,
+            },
+            () = place.wanted() => return,
+            () = tokio::time::sleep_until(until) => return,
         }
     }
 }
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -77,6 +77,9 @@
     relay: Relay,
     names: Names,
     max_held: usize,
+    max_bytes: usize,
+    /// Bytes of the bodies that are held.
+    held_bytes: usize,
     store: Store,
     caller: Box<dyn Caller>,
     notices: mpsc::UnboundedSender<Notice>,
@@ -98,16 +101,18 @@
 }
 
 impl Runtime {
-    /// A runtime over a store that has been replayed.
+    /// A runtime over a store that has been replayed, which holds so many messages, and bytes of their bodies.
     pub fn new(
-        clock: Clock, relay: Relay, names: Names, settings: &Settings, store: Store, caller: Box<dyn Caller>,
-        notices: mpsc::UnboundedSender<Notice>,
+        clock: Clock, relay: Relay, names: Names, (max_held, max_bytes): (usize, usize), store: Store,
+        caller: Box<dyn Caller>, notices: mpsc::UnboundedSender<Notice>,
     ) -> Self {
         Runtime {
             clock,
             relay,
             names,
-            max_held: settings.max_held as usize,
+            max_held,
+            max_bytes,
+            held_bytes: 0,
             store,
             caller,
             notices,
@@ -228,6 +233,8 @@
             Some(Answer::Refused("unknown dest", None))
         } else if self.held.len() >= self.max_held {
             Some(Answer::Refused("as many messages held as may be", None))
+        } else if self.held_bytes + exchange.body.len() > self.max_bytes {
+            Some(Answer::Refused("as many bytes held as may be", None))
         } else if !self.store.room(self.unwritten + bytes) {
             Some(Answer::Refused("no room on the disk", None))
         } else {
@@ -280,6 +287,7 @@
         let id = MessageId(self.met);
         let Exchange { class, tenant, due, destination, .. } = *exchange;
         self.ids.insert(exchange.id.clone(), id);
+        self.held_bytes += exchange.body.len();
         self.held.insert(id, Held { exchange, attempts, call: None, withdrawn: false });
         Arrival { id, class, tenant, key: None, due, destination: DestinationId(destination) }
     }
@@ -403,6 +411,7 @@
     fn forget(&mut self, id: MessageId) {
         if let Some(held) = self.held.remove(&id) {
             self.ids.remove(&held.exchange.id);
+            self.held_bytes -= held.exchange.body.len();
         }
     }
 
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -1,7 +1,7 @@
 //! Recorded byte exchanges, played against the program: each file under tests/exchanges/ is a script, and what
 //! the program did is compared with its snapshot. A script's lines:
 //!
-//!     start KEY=VALUE ..      starts the program, with limits.disk_mb, slots or open_cap as given
+//!     start KEY=VALUE ..      starts the program, with sockets, disk_mb, slots or open_cap as given
 //!     kill | terminate | ends SIGKILL; SIGTERM; waits for its end, which must be a good one
 //!     hangs_up TEXT           replaces the configuration by a faulty text, or by one with options as at a start
 //!                             that names where the agent now is; then SIGHUP
@@ -84,7 +84,7 @@
     };
     serde_json::json!({
         "name": "n0", "seed": "8c1f30d27a5be964",
-        "limits": {"sockets": 128, "disk_mb": number("disk_mb", 3.0)},
+        "limits": {"sockets": number("sockets", 128.0), "disk_mb": number("disk_mb", 3.0)},
         "known": {"revision": 41, "complete": true, "members": members},
         "settings": {
             "Classes": [class("status-update", "idempotent", 1.0), class("paid-extra", "at_most_once", 3.0)],
@@ -316,6 +316,37 @@
     reloaded
     spoilt_answers
     replaced
+    bad_lengths
+}
+
+/// Connections on which nothing or half a request comes hold every place: others are let in all the same, and
+/// each of the silent ones hears an error or a close.
+#[test]
+fn a_crowd_that_says_nothing_keeps_nobody_out() {
+    let mut play = Play::new("silence");
+    play.step("start sockets=64");
+    let mut silent: Vec<TcpStream> = (0..48).map(|_| connect(&play.listen)).collect();
+    silent.iter_mut().step_by(2).for_each(|half| half.write_all(b"POST /paid-extra HT").expect("written"));
+    for i in 0..4 {
+        let message = handed_in("status-update", &format!("m-{i}"), 0, 16_000, b"let in");
+        assert_eq!(ask(&mut connect(&play.listen), &message).expect("an answer").status(), 202);
+    }
+    for stream in &mut silent {
+        if let Some(heard) = hear(stream) {
+            assert_eq!((heard.status(), hear(stream)), (408, None));
+        }
+    }
+}
+
+/// A body far over the limit: the answer arrives though most of the body was still to come.
+#[test]
+fn the_answer_to_an_endless_body_arrives() {
+    let mut play = Play::new("endless");
+    play.step("start");
+    let head = "POST /paid-extra HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n";
+    let mut stream = connect(&play.listen);
+    stream.write_all(&[head.as_bytes(), &vec![b'x'; 3_000_000]].concat()).expect("written, not reset");
+    assert_eq!(hear(&mut stream).expect("an answer").status(), 413);
 }
 
 /// Bodies that come at the same moment are admitted together, each as if the others were stored already: else
