Release by the worth that is left, so that what is late does not make all else late

A fifth of the messages arrives with under 1 s left and ended behind the others. Ruled out: refusals by the runtime (none), slots, CPU. At fault: rules.rs hold (the class's worth as priority, whatever was left of it). Now the priority is the worth left, in steps of the aim, then how soon it falls; DESIGN leaves priority open. Tests: worth_falls_with_lateness_and_what_is_in_time_goes_first, what_loses_its_worth_first_goes_first.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,6 +43,8 @@
 const SLOT_SHARE: u32 = 2;
 /// Nothing starts in the last part of a stopping process: the shortest aim over this.
 const STOP_PART_OF_AIM: Micros = 4;
+/// To be answered within its aim a message has to start before the last one in so many parts of it.
+const START_PART_OF_AIM: Micros = 16;
 /// Worth is compared in thousandths; a second is so many of the clock's microseconds.
 const WORTH_UNIT: f64 = 1000.0;
 const SECOND: f64 = 1e6;
@@ -203,7 +205,7 @@
     apart: bool,
     batch: u32,
     endpoints: BTreeSet<TargetId>,
-    queue: BTreeSet<(Reverse<u64>, u64, MessageId)>,
+    queue: BTreeSet<(Rank, MessageId)>,
 }
 
 /// An endpoint. Invariant: once `stop` is set, nothing new goes there until the list names it in service.
@@ -230,11 +232,18 @@
     }
 }
 
+/// The order of release: what is worth most, then what loses that worth first, then what came first.
+type Rank = (Reverse<u64>, Micros, u64);
+
 /// A message taken and not ended. Invariant: it is in its destination's queue or out, never both.
 #[derive(Default)]
 struct Message {
     class: usize,
+    /// What it is worth now, and when that changes.
     worth: u64,
+    fades_at: Micros,
+    /// Started until then, it is in time.
+    in_time: Micros,
     seq: u64,
     due: Micros,
     destination: DestinationId,
@@ -248,6 +257,12 @@
     over: bool,
 }
 
+impl Message {
+    fn rank(&self) -> Rank {
+        (Reverse(self.worth), self.fades_at, self.seq)
+    }
+}
+
 /// One call, shared by the messages that started together. Invariant: one slot until all have their outcome.
 struct Call {
     lane: usize,
@@ -268,7 +283,7 @@
 }
 
 /// A message that may go, in release order, and where to.
-type Next = (Reverse<u64>, u64, MessageId, TargetId);
+type Next = (Rank, MessageId, TargetId);
 
 /// The decision module of one sender.
 pub struct Relay {
@@ -288,6 +303,8 @@
     crowding: Vec<f64>,
     /// Held messages by the time at which they are given up.
     expiry: BTreeSet<(Micros, MessageId)>,
+    /// Messages by the time at which they are worth less.
+    fading: BTreeSet<(Micros, MessageId)>,
     timer: Option<Micros>,
     token: u64,
     watch_at: Option<Micros>,
@@ -314,6 +331,7 @@
             keys: BTreeMap::new(),
             crowding: vec![0.0; settings.kinds.len()],
             expiry: BTreeSet::new(),
+            fading: BTreeSet::new(),
             timer: None,
             token: 0,
             watch_at: settings.ask_every.map(|_| Micros::MIN),
@@ -338,6 +356,7 @@
             Event::Timer(_) | Event::Probed { .. } => {}
         }
         self.expire(now, actions);
+        self.fade(now);
         if self.watch_at.is_some_and(|at| at <= now) {
             self.watch_at = None;
             actions.push(Action::Watch);
@@ -431,7 +450,6 @@
             return;
         }
         let ordered = class.in_order;
-        let worth = class.worth;
         let key = arrival.key.filter(|_| ordered);
         if self.keys.len() > 2 * self.settings.max_held as usize {
             self.keys.retain(|_, key| !key.line.is_empty() || key.rest_until > now);
@@ -442,7 +460,13 @@
         self.seq += 1;
         let message = Message {
             class: arrival.class,
-            worth: (worth * WORTH_UNIT) as u64,
+            fades_at: now,
+            // The due time counts from when it was first handed in, but for a message with less time than
+            // its aim: that one is in time until it is due.
+            in_time: match arrival.due - now <= class.aim {
+                true => arrival.due,
+                false => arrival.due - class.deadline + class.aim - class.aim / START_PART_OF_AIM,
+            },
             seq: self.seq,
             due: arrival.due,
             destination: arrival.destination,
@@ -454,8 +478,10 @@
         };
         let unsafe_twice = risky && self.settings.classes[message.class].effect == Effect::Unsafe;
         let spent = attempts >= self.settings.max_attempts || unsafe_twice;
+        self.fading.insert((now, arrival.id));
         self.messages.insert(arrival.id, message);
         self.hold(arrival.id);
+        self.fade(now);
         if spent {
             self.end(now, arrival.id, actions);
         }
@@ -480,7 +506,7 @@
         }
         let queues = self.held.iter().filter_map(|id| self.destinations.get(id));
         let Some(longest) = queues.max_by_key(|destination| destination.queue.len()) else { return };
-        if let Some(id) = longest.queue.iter().rev().map(|held| held.2).find(|id| self.refusable(*id)) {
+        if let Some(id) = longest.queue.iter().rev().map(|held| held.1).find(|id| self.refusable(*id)) {
             self.end(now, id, actions);
         }
     }
@@ -488,7 +514,7 @@
     /// Back to the queue, or new in it.
     fn hold(&mut self, id: MessageId) {
         let Some(message) = self.messages.get(&id) else { return };
-        let (place, held) = (message.destination, (Reverse(message.worth), message.seq, id));
+        let (place, held) = (message.destination, (message.rank(), id));
         let expires = self.last_start(message);
         let destination = self.destination(place);
         destination.queue.insert(held);
@@ -496,6 +522,42 @@
         self.expiry.insert((expires, id));
     }
 
+    /// Departure: the priority is the worth that is left, in steps of the aim, so that where more comes than
+    /// a destination takes, what is in time does not queue behind what is late and come late itself. It hurts
+    /// what is late: that waits for a gap. Within a worth, what loses it first goes first: among messages of
+    /// one class and its whole deadline, that is first come.
+    fn fade(&mut self, now: Micros) {
+        while let Some((_, id)) = self.fading.first().copied().filter(|(at, _)| *at <= now) {
+            self.fading.pop_first();
+            let Some(message) = self.messages.get(&id) else { continue };
+            let (class, held) = (&self.settings.classes[message.class], message.out.is_none());
+            let in_time = message.in_time;
+            let late = (now - in_time).max(-1).div_euclid(class.aim);
+            let middle = late as f64 + 0.5;
+            let share = match self.settings.late {
+                _ if late < 0 => 1.0,
+                LateForm::Halves => 0.5f64.powf(middle).max(class.late_worth),
+                LateForm::Even => {
+                    let span = (class.deadline - class.aim).max(class.aim) as f64;
+                    (1.0 - (1.0 - class.late_worth) * middle * class.aim as f64 / span).max(class.late_worth)
+                }
+            };
+            let worth = (class.worth * share * WORTH_UNIT) as u64;
+            let fades_at =
+                if late >= 0 && share <= class.late_worth { NEVER } else { in_time + (late + 1) * class.aim };
+            if held {
+                self.unhold(id);
+            }
+            if let Some(message) = self.messages.get_mut(&id) {
+                (message.worth, message.fades_at) = (worth, fades_at);
+                self.fading.insert((fades_at, id));
+            }
+            if held {
+                self.hold(id);
+            }
+        }
+    }
+
     /// After this a message may not be started any more.
     fn last_start(&self, message: &Message) -> Micros {
         let due = self
@@ -538,7 +600,7 @@
         let Some(message) = self.messages.get(&id) else { return };
         self.expiry.remove(&(self.last_start(message), id));
         let Some(destination) = self.destinations.get_mut(&message.destination) else { return };
-        destination.queue.remove(&(Reverse(message.worth), message.seq, id));
+        destination.queue.remove(&(message.rank(), id));
         if destination.queue.is_empty() {
             self.held.remove(&message.destination);
         }
@@ -548,6 +610,7 @@
     fn forget(&mut self, id: MessageId) {
         self.unhold(id);
         let Some(message) = self.messages.remove(&id) else { return };
+        self.fading.remove(&(message.fades_at, id));
         if let Some(line) = message.key.and_then(|key| self.keys.get_mut(&key)) {
             line.line.retain(|other| *other != id);
         }
@@ -719,7 +782,7 @@
                     Err(at) => due = due.min(at),
                 }
             }
-            let Some((_, _, id, target)) = best else { return due };
+            let Some((_, id, target)) = best else { return due };
             self.send(now, id, target, actions);
         }
     }
@@ -732,7 +795,7 @@
             let endpoints = destination.endpoints.iter().filter_map(|target| self.endpoints.get(target));
             let lanes: Vec<&Lane> = endpoints.filter(|e| !e.stop).map(|e| &self.lanes[e.lane]).collect();
             let waits = !lanes.is_empty() && lanes.iter().all(|lane| lane.out == 0);
-            for (_, _, id) in destination.queue.iter().filter(|_| waits) {
+            for (_, id) in destination.queue.iter().filter(|_| waits) {
                 let Some(message) = self.messages.get(id) else { continue };
                 let too_late = |lane: &&Lane| {
                     lane.ready_at(now, lane.free(message, now, &self.settings)) >= self.last_start(message)
@@ -753,7 +816,7 @@
         if !destination.apart && ready_at > now && !destination.endpoints.iter().any(joins) {
             return Err(ready_at);
         }
-        for (worth, seq, id) in &destination.queue {
+        for (rank, id) in &destination.queue {
             let Some(message) = self.messages.get(id) else { continue };
             let mut choice = None;
             for target in &destination.endpoints {
@@ -771,7 +834,7 @@
                 }
             }
             if let Some((_, _, _, _, target)) = choice {
-                return Ok((*worth, *seq, *id, target));
+                return Ok((*rank, *id, target));
             }
         }
         Err(due)
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -74,6 +74,43 @@
     assert_eq!(order, [3, 4, 1, 2]);
 }
 
+/// Where more comes than a destination takes, what is late waits for a gap instead of making all else late.
+#[test]
+fn worth_falls_with_lateness_and_what_is_in_time_goes_first() {
+    let mut rig = Rig::sturdy();
+    rig.arrive(1, SAFE, 1);
+    rig.now += MS;
+    rig.done(1, 1, Outcome::Full(Some(3 * S)));
+    rig.arrive(2, PRECIOUS, 1);
+    rig.pass(2 * S + S / 2);
+    rig.arrive(3, SAFE, 1);
+    rig.arrive(4, SAFE, 1);
+    let mut order = vec![];
+    for _ in 0..4 {
+        let ids = sent(&only(rig.pass(S)));
+        for id in &ids {
+            rig.done(*id, 1, Outcome::Ok);
+        }
+        order.extend(ids);
+    }
+    // Late, the precious one is still worth more than one in time; the other is not.
+    assert_eq!(order, [2, 3, 4, 1]);
+}
+
+/// A message with little time left is worth nothing soon; others of its worth can wait for it.
+#[test]
+fn what_loses_its_worth_first_goes_first() {
+    let mut rig = Rig::sturdy();
+    rig.arrive(1, SAFE, 1);
+    rig.now += MS;
+    rig.done(1, 1, Outcome::Full(Some(S)));
+    rig.arrive(2, SAFE, 1);
+    let (class, destination, due) = (SAFE, DestinationId(1), rig.now + S + S / 2);
+    rig.event(Event::Arrival(Arrival { id: MessageId(3), class, tenant: None, key: None, due, destination }));
+    let first = sent(&only(rig.pass(S + S / 4)));
+    assert_eq!(first, [3]);
+}
+
 #[test]
 fn without_a_listed_rate_the_interval_comes_from_recent_spacing_and_a_clean_outcome_ends_pacing() {
     let mut rig = Rig::new(Settings { listed_rates: false, ..settings() });
