Tell few connections from a full destination, and one silent connection from an outage

Checked by a log of connects and answers: no connect failed; 2025 answers of three crowded endpoints were 503 with Connection: close on a new connection, which went to the module as full and doubled the interval of their destination. Two calls on connections that fell silent timed out after two aims, both begun over a fall window ago, and so made an outage of a destination that had answered hundreds of calls since. At fault: outbound.rs read (503), rules.rs learn (a time-out of an old call told of now) and its least time-out. Now Crowded is an outcome of its own: the endpoint gets as many calls as its connections allowed, one more after 200 ms; with none of ours there it still counts as full. A time-out after later calls were answered counts for the endpoint alone. Tests: an_endpoint_without_connections_is_waited_for_and_not_paced, a_time_out_after_later_calls_were_answered_is_no_trouble_of_the_destination.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -73,6 +73,21 @@
     Halves,
 }
 
+impl LateForm {
+    /// The mean share of its worth that a message of a class has in its n-th aim after the first, from 0.
+    pub fn share(self, class: &Class, n: Micros) -> f64 {
+        let middle = n as f64 + 0.5;
+        let share = match self {
+            LateForm::Halves => 0.5f64.powf(middle),
+            LateForm::Even => {
+                let span = (class.deadline - class.aim).max(class.aim) as f64;
+                1.0 - (1.0 - class.late_worth) * middle * class.aim as f64 / span
+            }
+        };
+        share.max(class.late_worth)
+    }
+}
+
 /// A kind of destination.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Kind {
@@ -266,6 +281,8 @@
     Ok,
     /// Answered with an error; may have taken effect.
     Error,
+    /// Turned away unseen, as the endpoint holds no more connections; never ran.
+    Crowded,
     /// Turned away unseen, with the time to wait if one was told; never ran.
     Full(Option<Micros>),
     /// No answer in time; may have taken effect or still do so.
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -20,7 +20,7 @@
 type Connection = Framed<TcpStream, AnswerCodec>;
 
 /// Idle connections kept to one endpoint.
-const MOST_IDLE: usize = 4;
+const MOST_IDLE: usize = 16;
 /// What does not belong to an answer may follow it for so long; until then its connection is not used again.
 const SETTLES: Micros = 2_000;
 /// Where an answer's first line tells all, the rest may take so long before the connection is given up.
@@ -60,6 +60,8 @@
     pub written: bool,
     /// The status in the answer's first line.
     pub first: Option<u16>,
+    /// It went out on a new connection.
+    pub opened: bool,
     /// That line tells the outcome; what follows is awaited only for the connection's sake.
     pub first_tells: bool,
 }
@@ -123,7 +125,7 @@
             .with("X-Time-Left", format!("{left}m"));
         request.body = call.exchange.body.clone();
         match self.connections.ask(&(call.address.clone(), Some(call.target)), &request, progress).await {
-            Ok(answer) => read(&answer),
+            Ok(answer) => read(&answer, progress.opened),
             Err(outcome) => (outcome, false, Report::default()),
         }
     }
@@ -147,6 +149,7 @@
         let mut connection = match self.idle(place).await {
             Some(connection) => connection,
             None => {
+                progress.opened = true;
                 let by = self.clock.instant(self.clock.now() + self.connect_within);
                 match tokio::time::timeout_at(by, TcpStream::connect(&*place.0)).await {
                     Ok(Ok(stream)) => {
@@ -253,14 +256,16 @@
     }
 }
 
-/// What an answer means.
-fn read(answer: &Message) -> (Outcome, bool, Report) {
+/// What an answer means; `opened` where it is the first on its connection.
+fn read(answer: &Message, opened: bool) -> (Outcome, bool, Report) {
     let Start::Response(status) = answer.start else { return (Outcome::Reset, false, Report::default()) };
     let wait = full(answer);
     let outcome = match status {
         200 => Outcome::Ok,
         429 => Outcome::Full(wait),
         503 if answer.header("X-Over-Slots") == Some("1") => Outcome::Skipped,
+        // What turns a new connection away at once and ends it speaks of connections, not of calls.
+        503 if opened && !answer.keep_alive && wait.is_none() => Outcome::Crowded,
         503 => Outcome::Full(wait),
         504 | 410 => Outcome::Skipped,
         _ => Outcome::Error,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -41,6 +41,8 @@
 const DOWN_STREAK: u32 = 6;
 /// One destination's calls take at most one in this many slots (two calls at the least).
 const SLOT_SHARE: u32 = 2;
+/// An endpoint that turned a call away for want of connections is tried with one more after this.
+const CROWDED_FOR: Micros = 200_000;
 /// Nothing starts in the last part of a stopping process: the shortest aim over this.
 const STOP_PART_OF_AIM: Micros = 4;
 /// To be answered within its aim a message has to start before the last one in so many parts of it.
@@ -219,6 +221,9 @@
     out: u32,
     failures: u32,
     try_at: Micros,
+    /// Calls that its connections allow, as far as seen; one more is tried from `more_at` on.
+    most: Option<u32>,
+    more_at: Micros,
     /// Since when a connection is idle, as far as known.
     idle_since: Option<Micros>,
     /// The call of this very moment, which others may join.
@@ -257,12 +262,6 @@
     over: bool,
 }
 
-impl Message {
-    fn rank(&self) -> Rank {
-        (Reverse(self.worth), self.fades_at, self.seq)
-    }
-}
-
 /// One call, shared by the messages that started together. Invariant: one slot until all have their outcome.
 struct Call {
     lane: usize,
@@ -449,7 +448,8 @@
         if self.messages.contains_key(&arrival.id) {
             return;
         }
-        let ordered = class.in_order;
+        let (ordered, short) = (class.in_order, arrival.due - now <= class.aim);
+        let in_aim = class.aim - class.aim / START_PART_OF_AIM;
         let key = arrival.key.filter(|_| ordered);
         if self.keys.len() > 2 * self.settings.max_held as usize {
             self.keys.retain(|_, key| !key.line.is_empty() || key.rest_until > now);
@@ -461,12 +461,8 @@
         let message = Message {
             class: arrival.class,
             fades_at: now,
-            // The due time counts from when it was first handed in, but for a message with less time than
-            // its aim: that one is in time until it is due.
-            in_time: match arrival.due - now <= class.aim {
-                true => arrival.due,
-                false => arrival.due - class.deadline + class.aim - class.aim / START_PART_OF_AIM,
-            },
+            // Due counts from the first hand-in; with less than its aim left it is in time until it is due.
+            in_time: if short { arrival.due } else { arrival.due - class.deadline + in_aim },
             seq: self.seq,
             due: arrival.due,
             destination: arrival.destination,
@@ -514,7 +510,8 @@
     /// Back to the queue, or new in it.
     fn hold(&mut self, id: MessageId) {
         let Some(message) = self.messages.get(&id) else { return };
-        let (place, held) = (message.destination, (message.rank(), id));
+        let rank: Rank = (Reverse(message.worth), message.fades_at, message.seq);
+        let (place, held) = (message.destination, (rank, id));
         let expires = self.last_start(message);
         let destination = self.destination(place);
         destination.queue.insert(held);
@@ -533,15 +530,7 @@
             let (class, held) = (&self.settings.classes[message.class], message.out.is_none());
             let in_time = message.in_time;
             let late = (now - in_time).max(-1).div_euclid(class.aim);
-            let middle = late as f64 + 0.5;
-            let share = match self.settings.late {
-                _ if late < 0 => 1.0,
-                LateForm::Halves => 0.5f64.powf(middle).max(class.late_worth),
-                LateForm::Even => {
-                    let span = (class.deadline - class.aim).max(class.aim) as f64;
-                    (1.0 - (1.0 - class.late_worth) * middle * class.aim as f64 / span).max(class.late_worth)
-                }
-            };
+            let share = if late < 0 { 1.0 } else { self.settings.late.share(class, late) };
             let worth = (class.worth * share * WORTH_UNIT) as u64;
             let fades_at =
                 if late >= 0 && share <= class.late_worth { NEVER } else { in_time + (late + 1) * class.aim };
@@ -600,7 +589,7 @@
         let Some(message) = self.messages.get(&id) else { return };
         self.expiry.remove(&(self.last_start(message), id));
         let Some(destination) = self.destinations.get_mut(&message.destination) else { return };
-        destination.queue.remove(&(message.rank(), id));
+        destination.queue.remove(&((Reverse(message.worth), message.fades_at, message.seq), id));
         if destination.queue.is_empty() {
             self.held.remove(&message.destination);
         }
@@ -683,10 +672,22 @@
         let lane = &mut self.lanes[call.lane];
         endpoint.out = endpoint.out.saturating_sub(1);
         lane.out = lane.out.saturating_sub(1);
+        // Guards the pace against an endpoint's few connections, which are no limit on calls: one of its own
+        // is waited for. With none there it may be shut, and what it says counts as full.
+        let few = outcome == Outcome::Crowded && endpoint.out > 0;
+        let outcome = if few || outcome != Outcome::Crowded { outcome } else { Outcome::Full(None) };
+        if few {
+            (endpoint.most, endpoint.more_at) = (Some(endpoint.out), now + CROWDED_FOR);
+        } else if outcome == Outcome::Ok {
+            endpoint.most = endpoint.most.map(|most| most.max(endpoint.out + 1));
+        }
         // A time-out that the client's deadline cut short tells nothing of the destination. It guards health
         // and pace against impatient clients, and hurts where all messages are too short to see a hang.
-        let unanswered = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled)
+        let hung = matches!(outcome, Outcome::TimedOut | Outcome::Cancelled)
             && (lane.mean.is_none() || lane.overdue(took));
+        // Where later calls were answered well, one connection hung, or one endpoint: no trouble of all.
+        let unanswered = hung && lane.good.is_none_or(|good| good <= call.begun);
+        endpoint.failures += u32::from(hung && !unanswered);
         let failed =
             unanswered || matches!(outcome, Outcome::Error | Outcome::Reset | Outcome::ConnectFailed);
         if let Some(limit) = report.limit.filter(|limit| *limit > 0.0) {
@@ -892,6 +893,9 @@
         if self.calls.len() as u32 >= self.settings.slots || lane.out >= most {
             return Err(NEVER);
         }
+        if endpoint.most.is_some_and(|most| endpoint.out >= most) && endpoint.more_at > now {
+            return Err(endpoint.more_at);
+        }
         // Guards against one bad endpoint of a good destination: it is tried now and then, singly.
         let bad = endpoint.failures >= STREAK;
         if bad && (endpoint.out > 0 || endpoint.try_at > now) {
@@ -960,6 +964,9 @@
                 endpoint.out += 1;
                 reused = endpoint.warm(now, self.settings.connection_idle);
                 endpoint.idle_since = None;
+                if endpoint.most.is_some_and(|most| endpoint.out > most) {
+                    endpoint.more_at = now + CROWDED_FOR;
+                }
                 lane.out += 1;
                 lane.pacer.started(now);
                 lane.take_turn(&self.settings, now, jitter(&self.settings, self.seed ^ self.calls_made));
@@ -978,7 +985,7 @@
         let most = class.deadline / TIMEOUT_MOST_OF_DEADLINE;
         let timeout = match class.effect {
             Effect::Unsafe => least,
-            _ => usual.unwrap_or(most).clamp(least.min(most), most),
+            _ => usual.unwrap_or(most).clamp((least / 2).min(most), most),
         };
         let due = message.due.min(self.stop_at.unwrap_or(message.due));
         actions.push(Action::Send { id, target, timeout: timeout.min(due - now).max(1) });
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -40,6 +40,20 @@
     assert_eq!(after, [(released + base, 6), (released + 2 * base, 7)], "a clean outcome restores the base");
 }
 
+/// Too few connections say nothing of the pace: the message goes once a call of ours has ended, or a little later.
+#[test]
+fn an_endpoint_without_connections_is_waited_for_and_not_paced() {
+    let mut rig = Rig::sturdy();
+    rig.arrive(1, SAFE, 1);
+    rig.arrive(2, SAFE, 1);
+    rig.now += MS;
+    assert_eq!(sent(&rig.done(2, 1, Outcome::Crowded)), [] as [u64; 0]);
+    rig.now += 10 * MS;
+    assert_eq!(sent(&rig.done(1, 1, Outcome::Ok)), [2]);
+    assert_eq!(sent(&rig.arrive(3, SAFE, 1)), [] as [u64; 0], "one call is what its connections allowed");
+    assert_eq!(sent(&only(rig.pass(S / 5))), [3], "one more is tried after a while");
+}
+
 #[test]
 fn a_clump_refused_together_is_one_signal() {
     let mut rig = Rig::sturdy();
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -182,3 +182,26 @@
         assert!(served + given_up <= 20, "case {i}: {served} served and {given_up} given up");
     }
 }
+
+/// Two connections that fall silent, among calls that are answered, are no outage: the next ones need no turn.
+#[test]
+fn a_time_out_after_later_calls_were_answered_is_no_trouble_of_the_destination() {
+    let mut rig = Rig::two();
+    for id in 1..=2 {
+        rig.arrive(id, SAFE, 1);
+    }
+    for id in 3..=6 {
+        rig.now += S;
+        rig.arrive(id, SAFE, 1);
+        rig.now += 100 * MS;
+        rig.done(id, 1, Outcome::Ok);
+    }
+    let done = |id: u64| {
+        let (id, target, outcome) = (MessageId(id), TargetId(1), Outcome::TimedOut);
+        let report = Report::default();
+        Event::Done(Done { id, attempt: 0, target, outcome, took: 4 * S, over: false, report })
+    };
+    assert_eq!(sent(&rig.event(done(1))), [1]);
+    assert_eq!(sent(&rig.event(done(2))), [] as [u64; 0], "the endpoint is tried singly");
+    assert_eq!(sent(&rig.done(1, 1, Outcome::Ok)), [2], "with no turn and no pace");
+}
