Let connections between requests go at once where all places are taken

Checked by a log of refusals and ends: the runtime refused nothing and few messages came at all; descriptors stood at the clients' half. Ruled out: disk, memory, the destination set (whole), endpoints (0.24 attempts a request, few refusals). At fault: inbound.rs look: clients that had asked once kept every place for 2 s, and the backlog outlasted 400 ms. Now such a place is given up after 200 ms once all are taken; the protocol lets a relay close between requests. Test: a_crowd_that_has_asked_keeps_nobody_out.

--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -30,7 +30,9 @@
 const IDLE: Micros = 30_000_000;
 /// Once half of the places are taken, after this.
 const IDLE_IN_A_CROWD: Micros = 2_000_000;
-/// Once all are taken, a connection on which nothing ever came is closed after this ...
+/// Once all are taken, after this: its client may send again on a new connection, one that gets none may not.
+const IDLE_WHEN_FULL: Micros = 200_000;
+/// Then a connection on which nothing ever came is closed after this ...
 const SILENT: Micros = 100_000;
 /// ... and one whose request is not whole after this.
 const SLOW: Micros = 500_000;
@@ -123,6 +125,7 @@
         for guest in guests.values_mut().filter(|guest| !guest.asked) {
             let stays = match guest.stage {
                 Stage::Open => Micros::MAX,
+                Stage::Between if full => IDLE_WHEN_FULL,
                 Stage::Between if crowded => IDLE_IN_A_CROWD,
                 Stage::New | Stage::Leaving if full => SILENT,
                 Stage::Reading if full => SLOW,
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -338,6 +338,21 @@
     }
 }
 
+/// Clients that ask once and keep their connections hold every place: the next is let in before it would give up.
+#[test]
+fn a_crowd_that_has_asked_keeps_nobody_out() {
+    let mut play = Play::new("kept");
+    play.step("start sockets=64");
+    let mut kept = Vec::new();
+    for i in 0..48 {
+        let mut stream = connect(&play.listen);
+        stream.set_read_timeout(Some(std::time::Duration::from_millis(1500))).expect("a deadline");
+        let message = handed_in("status-update", &format!("m-{i}"), 0, 16_000, b"asked once");
+        assert_eq!(ask(&mut stream, &message).expect("an answer, well before 2 s").status(), 202);
+        kept.push(stream);
+    }
+}
+
 /// A body far over the limit: the answer arrives though most of the body was still to come.
 #[test]
 fn the_answer_to_an_endless_body_arrives() {
