Say once how settings are read, what rank a message has, and how a last answer ends

Read over: config.rs read repeated read_settings; rules.rs built a message's rank in two places out of three fields, which are now one; both callers of inbound.rs last set what last itself can. Left: the pool's count, which could be derived, and the limits' defaults, written twice in config.rs.

--- a/src/config.rs
+++ b/src/config.rs
@@ -181,11 +181,7 @@
             memory: (number("memory_mb", 16.0, MEMORY_MB)? * MB) as usize,
         };
         let settings = value.get("settings").ok_or_else(|| bad("settings", "is missing"))?;
-        let mut pairs = Vec::new();
-        flatten(settings, String::new(), &mut pairs);
-        let (settings, names) =
-            wire::settings(&pairs.join(" ")).map_err(|e| bad("settings", e.to_string()))?;
-        settings.check().map_err(|error| bad("settings", error.to_string()))?;
+        let (settings, names) = read_settings(settings)?;
         let known = value.get("known").filter(|known| !known.is_null());
         let known = known.map(told).transpose().map_err(|why| bad("known", why))?;
         let discovery = address("PROXY_DISCOVERY", "discovery")?;
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -261,14 +261,11 @@
                     HttpError::Late => 408,
                     _ => 400,
                 };
-                let mut answer = Message::response(status, error.to_string());
-                answer.keep_alive = false;
-                return last(clock, framed, answer, place).await;
+                return last(clock, framed, Message::response(status, error.to_string()), place).await;
             }
             // Guards against a length that is too short: what follows it was meant as part of the body.
             Some(Ok(_)) if !may_begin(framed.read_buffer()) => {
-                let mut answer = Message::response(400, "malformed: bytes after the body");
-                answer.keep_alive = false;
+                let answer = Message::response(400, "malformed: bytes after the body");
                 return last(clock, framed, answer, place).await;
             }
             Some(Ok(request)) => {
@@ -306,7 +303,8 @@
 }
 
 /// The last answer of a connection whose other side may still be sending.
-async fn last(clock: Clock, mut framed: Framed<TcpStream, Codec>, answer: Message, place: &Place) {
+async fn last(clock: Clock, mut framed: Framed<TcpStream, Codec>, mut answer: Message, place: &Place) {
+    answer.keep_alive = false;
     place.at(Stage::Leaving);
     let until = clock.instant(clock.now() + ANSWER_WITHIN);
     if matches!(tokio::time::timeout_at(until, framed.send(&answer)).await, Ok(Ok(()))) {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -244,12 +244,10 @@
 #[derive(Default)]
 struct Message {
     class: usize,
-    /// What it is worth now, and when that changes.
-    worth: u64,
-    fades_at: Micros,
+    /// What it is worth now, when that changes, and its number.
+    rank: Rank,
     /// Started until then, it is in time.
     in_time: Micros,
-    seq: u64,
     due: Micros,
     destination: DestinationId,
     key: Option<Arc<str>>,
@@ -460,10 +458,9 @@
         self.seq += 1;
         let message = Message {
             class: arrival.class,
-            fades_at: now,
+            rank: (Reverse(0), now, self.seq),
             // Due counts from the first hand-in; with less than its aim left it is in time until it is due.
             in_time: if short { arrival.due } else { arrival.due - class.deadline + in_aim },
-            seq: self.seq,
             due: arrival.due,
             destination: arrival.destination,
             key,
@@ -510,8 +507,7 @@
     /// Back to the queue, or new in it.
     fn hold(&mut self, id: MessageId) {
         let Some(message) = self.messages.get(&id) else { return };
-        let rank: Rank = (Reverse(message.worth), message.fades_at, message.seq);
-        let (place, held) = (message.destination, (rank, id));
+        let (place, held) = (message.destination, (message.rank, id));
         let expires = self.last_start(message);
         let destination = self.destination(place);
         destination.queue.insert(held);
@@ -538,7 +534,7 @@
                 self.unhold(id);
             }
             if let Some(message) = self.messages.get_mut(&id) {
-                (message.worth, message.fades_at) = (worth, fades_at);
+                (message.rank.0, message.rank.1) = (Reverse(worth), fades_at);
                 self.fading.insert((fades_at, id));
             }
             if held {
@@ -589,7 +585,7 @@
         let Some(message) = self.messages.get(&id) else { return };
         self.expiry.remove(&(self.last_start(message), id));
         let Some(destination) = self.destinations.get_mut(&message.destination) else { return };
-        destination.queue.remove(&((Reverse(message.worth), message.fades_at, message.seq), id));
+        destination.queue.remove(&(message.rank, id));
         if destination.queue.is_empty() {
             self.held.remove(&message.destination);
         }
@@ -599,7 +595,7 @@
     fn forget(&mut self, id: MessageId) {
         self.unhold(id);
         let Some(message) = self.messages.remove(&id) else { return };
-        self.fading.remove(&(message.fades_at, id));
+        self.fading.remove(&(message.rank.1, id));
         if let Some(line) = message.key.and_then(|key| self.keys.get_mut(&key)) {
             line.line.retain(|other| *other != id);
         }
