--- a/src/as2.rs
+++ b/src/as2.rs
@@ -554,15 +554,19 @@
         };
         let (reply, answer) = oneshot::channel();
         let input = Input::Handed(Arc::new(exchange), Some(receipt.clone()), reply);
-        let refusal = |why: &str| Message::response(503, why.to_string()).with("Retry-After", "1");
+        // In whole seconds, as partners read them.
+        let refusal = |why: &str, after: Option<Micros>| {
+            let after = after.map_or(1, |after| (after.max(1) + 999_999) / 1_000_000);
+            Message::response(503, why.to_string()).with("Retry-After", after.to_string())
+        };
         if self.inputs.send(input).await.is_err() {
-            return Ok(Err(refusal("stopped")));
+            return Ok(Err(refusal("stopped", None)));
         }
         Ok(match answer.await {
             Ok(Answer::Taken | Answer::TakenBefore) => Ok(receipt),
-            Ok(Answer::Refused(why, _)) => Err(refusal(why)),
+            Ok(Answer::Refused(why, after)) => Err(refusal(why, after)),
             Ok(Answer::Failed(why)) => Err(Message::response(500, why)),
-            Err(_) => Err(refusal("stopped")),
+            Err(_) => Err(refusal("stopped", None)),
         })
     }
 
--- a/src/recording.rs
+++ b/src/recording.rs
@@ -211,22 +211,11 @@
     let target = recording.target.to_string();
     let marker = state.join("record-taken-over");
     let new = !marker.exists();
+    let unusable = |failure| RecordingError::Record { target: target.clone(), failure };
     match Record::open(&recording.target, relay).await {
-        Ok(mut record) if new => {
-            let taken = takeover::run(&mut record, relay, journal, clock.now())
-                .await
-                .map_err(|error| RecordingError::Record { target: target.clone(), failure: error })?;
-            if taken != takeover::Taken::default() {
-                info!("{target}: {} unfinished and {} finished taken over", taken.unfinished, taken.finished);
-            }
-            let mut file = File::create(&marker).map_err(file_error(&marker))?;
-            writeln!(file, "{} {}", taken.unfinished, taken.finished).map_err(file_error(&marker))?;
-        }
         Ok(_) => {}
         // Once, at the first start, it has to be asked for what an older program left there.
-        Err(failure) if new || matches!(failure, Failure::Schema(_)) => {
-            return Err(RecordingError::Record { target, failure });
-        }
+        Err(failure) if new || matches!(failure, Failure::Schema(_)) => return Err(unusable(failure)),
         Err(failure) => {
             warn!("record at {target}: {failure}; the relay serves on, the journal keeps the ends")
         }
@@ -246,6 +235,7 @@
     let mut standing = handle.standing();
     let away = clock.instant(clock.now() + START_WITHIN);
     let taken_over = clock.instant(clock.now() + 2 * figures.lease);
+    let held = || RecordingError::NameHeld(relay.to_string(), target.clone());
     loop {
         let now = *standing.borrow_and_update();
         let until = match now {
@@ -253,21 +243,28 @@
             Standing::Connecting => away,
             // A holder that is dead is silent for a lease; one that lives keeps this process from starting.
             Standing::Other { lives: false } => taken_over,
-            Standing::Other { lives: true } | Standing::Fenced => {
-                return Err(RecordingError::NameHeld(relay.into(), target));
-            }
+            Standing::Other { lives: true } | Standing::Fenced => return Err(held()),
         };
         match tokio::time::timeout_at(until, standing.changed()).await {
             Ok(Ok(())) => {}
-            _ if matches!(now, Standing::Other { .. }) => {
-                return Err(RecordingError::NameHeld(relay.into(), target));
-            }
+            _ if matches!(now, Standing::Other { .. }) => return Err(held()),
+            _ if new => return Err(unusable(Failure::Down("no answer".into()))),
             _ => {
                 warn!("record at {target}: no answer yet; the relay serves on, the journal keeps the ends");
                 break;
             }
         }
     }
+    // Only who holds the name may go on with what an older program left under it.
+    if new {
+        let mut record = Record::open(&recording.target, relay).await.map_err(&unusable)?;
+        let taken = takeover::run(&mut record, relay, journal, clock.now()).await.map_err(&unusable)?;
+        if taken != takeover::Taken::default() {
+            info!("{target}: {} unfinished and {} finished taken over", taken.unfinished, taken.finished);
+        }
+        let mut file = File::create(&marker).map_err(file_error(&marker))?;
+        writeln!(file, "{} {}", taken.unfinished, taken.finished).map_err(file_error(&marker))?;
+    }
     Ok((Started { handle, _lock: lock }, numbers))
 }
 
