Let relays tell each other what they see of partners, for operators to look at

Need: a relay that restarts in the middle of an outage knows nothing of what the others see, and nobody can ask a running relay what it believes of a partner.

It is set up by [peers] in an operator's file alone, and off on the platform.

--- a/crates/proofs/src/lib.rs
+++ b/crates/proofs/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod record;
 pub mod relay;
 pub mod rows;
+pub mod tier;
 
 /// Why a proof could not be run.
 pub type Failure = Box<dyn std::error::Error + Send + Sync>;
--- a/crates/proofs/src/main.rs
+++ b/crates/proofs/src/main.rs
@@ -36,6 +36,24 @@
         #[arg(long, default_value = "target/proofs/record")]
         folder: PathBuf,
     },
+    /// A tier of many relays in simulated time: how long until a starter knows what matters, and what it costs
+    Tier {
+        /// Relays
+        #[arg(long, default_value_t = 50)]
+        relays: usize,
+        /// Destinations
+        #[arg(long, default_value_t = 2000)]
+        destinations: i64,
+        /// The part of the notes that is lost
+        #[arg(long, default_value_t = 0.0)]
+        loss: f64,
+        /// What is drawn comes of it
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// A relay's budget
+        #[arg(long, default_value_t = 4000)]
+        bytes_per_s: u32,
+    },
     /// Fills a record in SQLite and times questions to it
     Query {
         /// Messages in it
@@ -74,6 +92,13 @@
             println!("{counted}");
             Ok(counted.clean())
         }
+        Command::Tier { relays, destinations, loss, seed, bytes_per_s } => {
+            let messages_per_s = 50.0;
+            let tier = proofs::tier::Tier { relays, destinations, loss, seed, bytes_per_s, messages_per_s };
+            let counted = proofs::tier::run(&tier);
+            println!("{counted:#?}");
+            Ok(counted.known_ms[1].is_some())
+        }
         Command::Query { rows, file } => {
             if let Some(folder) = file.parent() {
                 std::fs::create_dir_all(folder)?;
--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -18,6 +18,7 @@
 use tulipfall::net::http::Budget;
 use tulipfall::net::inbound::{Front, Inbound, Vocabulary, serve};
 use tulipfall::net::outbound::Outbound;
+use tulipfall::peering;
 use tulipfall::recording::{self, Outbox};
 use tulipfall::rules::Relay;
 use tulipfall::runtime::Runtime;
@@ -131,6 +132,11 @@
     }
     let known = config.known.take();
     let revision = known.as_ref().map_or(0, |known| known.revision);
+    if let Some(peers) = &config.peers {
+        let seed = clock.now().unsigned_abs();
+        let witness = peering::start(peers, &config.state, clock, seed).await;
+        runtime = runtime.witnessed_by(witness.map_err(|error| format!("peers: {error}"))?);
+    }
     runtime.resume(known.map(|known| known.members).unwrap_or_default(), replay)?;
 
     let [asked, told] = addresses(&config);
--- a/src/config.rs
+++ b/src/config.rs
@@ -11,11 +11,13 @@
 use openssl::x509::X509;
 use serde_json::{Value, json};
 
+use peers::note::{Key, Keys};
 use record::sql::{Server, Target, Tls};
 
 use crate::as2::{HandsIn, Identity, Partner};
 use crate::interface::{Micros, Settings};
 use crate::net::discovery::{Told, told};
+use crate::peering::Peering;
 use crate::recording::Recording;
 use crate::store::{Room, TO_END, TO_END_RECORDED};
 use crate::wire::{self, Names};
@@ -74,6 +76,8 @@
     pub notices: Option<SocketAddr>,
     /// Where ends are recorded, if they are.
     pub record: Option<Recording>,
+    /// Its part among other relays, off unless an operator's file sets it up.
+    pub peers: Option<Peering>,
     /// The AS2 front, off unless an operator's file sets it up.
     pub as2: Option<As2Config>,
     /// The folder that lasts.
@@ -195,6 +199,7 @@
             discovery,
             notices: discovery,
             record: None,
+            peers: None,
             as2: None,
             state: state.into(),
             seed,
@@ -367,6 +372,7 @@
         let record =
             top.table("store")?.map(|table| operator_record(&table, folder, &state, limits, environment));
         let record = record.transpose()?.flatten();
+        let peers = top.table("peers")?.map(|table| operator_peers(&table, folder)).transpose()?;
         let as2 = top.table("as2")?;
         let cells: BTreeSet<i64> =
             known.iter().flat_map(|known| &known.members).map(|member| member.entry.cell()).collect();
@@ -378,6 +384,7 @@
             discovery: None,
             notices,
             record,
+            peers,
             as2,
             state,
             seed: 0,
@@ -390,6 +397,47 @@
     }
 }
 
+/// A key for notes has at least so many bytes.
+const LEAST_KEY: usize = 16;
+
+fn operator_peers(table: &Table, folder: &Path) -> Result<Peering, ConfigError> {
+    let listen = table.address("listen")?.ok_or_else(|| table.bad("listen", "is missing"))?;
+    let named = table.get("all").and_then(Value::as_array).cloned().unwrap_or_default();
+    let address = |value: &Value| {
+        let address = value.as_str().and_then(|text| text.parse().ok());
+        address.ok_or_else(|| table.bad("all", format!("has {value}, expected address:port")))
+    };
+    let all: Vec<SocketAddr> = named.iter().map(address).collect::<Result<_, _>>()?;
+    let me = table.number("me", 0.0, None)? as usize;
+    if me >= all.len() {
+        return Err(table.bad("me", format!("is {me}, but all has {} relays, counted from 0", all.len())));
+    }
+    let mut keys = Vec::new();
+    for key in table.tables("key")? {
+        let id = key.number("id", 1.0, None)?;
+        let path = folder.join(key.text("file")?);
+        let bytes =
+            std::fs::read(&path).map_err(|error| key.bad("file", format!("{}: {error}", path.display())))?;
+        if id > 255.0 || bytes.len() < LEAST_KEY {
+            let why = format!("{}: expected {LEAST_KEY} bytes or more, and an id up to 255", path.display());
+            return Err(key.bad("file", why));
+        }
+        keys.push(Key { id: id as u8, bytes });
+        key.finish()?;
+    }
+    let peering = Peering {
+        me: u16::try_from(me).map_err(|_| table.bad("me", "is over 65535"))?,
+        listen,
+        all,
+        bytes_per_s: table.number("bytes_per_s", 512.0, Some(4000.0))? as u32,
+        keys: Keys(keys),
+        warm: table.get("warm_start").is_none_or(|value| value.as_bool() != Some(false)),
+        control: table.maybe_text("control")?.map(|path| folder.join(path)),
+    };
+    table.finish()?;
+    Ok(peering)
+}
+
 /// The record. What it may take of the disk is shared: a quarter is the journal's, and an eighth is for what
 /// SQLite writes before it is in the file.
 fn operator_record(
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -81,6 +81,7 @@
 pub mod exchange;
 pub mod interface;
 pub mod net;
+pub mod peering;
 pub mod recording;
 pub mod rules;
 pub mod runtime;
--- a/src/main.rs
+++ b/src/main.rs
@@ -11,7 +11,7 @@
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::util::SubscriberInitExt;
 
-use command::{Failure, record, run};
+use command::{Failure, peers, record, run};
 use tulipfall::config::{Config, template};
 
 /// A message relay: takes messages from clients and delivers each to an endpoint of its destination.
@@ -54,6 +54,16 @@
     /// Writes and checks configurations
     #[command(subcommand)]
     Config(ConfigCommand),
+    /// Shows who of the other relays is there, as a running relay sees it
+    Peers {
+        #[command(subcommand)]
+        command: peers::Show,
+    },
+    /// Shows what a running relay knows of destinations, from whom, and how far it believes it
+    Facts {
+        #[command(subcommand)]
+        command: peers::Show,
+    },
     /// Asks and looks after the record of final answers
     #[command(subcommand)]
     Record(Box<record::RecordCommand>),
@@ -110,6 +120,8 @@
             init(&application, &file).map(|()| ExitCode::SUCCESS)
         }
         Some(Command::Config(ConfigCommand::Check { files })) => check(&files).map(|()| ExitCode::SUCCESS),
+        Some(Command::Peers { command }) => peers::show(&command, "peers"),
+        Some(Command::Facts { command }) => peers::show(&command, "facts"),
         Some(Command::Record(command)) => record::carry_out(*command),
     };
     result.unwrap_or_else(|error| {
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -5,12 +5,14 @@
 use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
+use peers::witness::Seen;
 use record::model::{Effect as RecordedEffect, Entry, Expected, Late, Outcome as RecordedOutcome, Trace};
 use tokio::sync::{mpsc, oneshot};
 use tracing::{debug, error, warn};
 
 use crate::exchange::{Answer, CallEnd, Clock, Exchange, Input, Member, Notice, OutboundCall, Receipt};
 use crate::interface::*;
+use crate::peering;
 use crate::recording::{Outbox, heard};
 use crate::rules::Relay;
 use crate::store::{Begun, Journal, Record, Replay, StoreError, Stored};
@@ -90,6 +92,7 @@
     held_bytes: usize,
     journal: Journal,
     outbox: Option<Outbox>,
+    witness: Option<mpsc::UnboundedSender<Seen>>,
     caller: Box<dyn Caller>,
     notices: mpsc::UnboundedSender<Notice>,
     ids: HashMap<String, MessageId>,
@@ -124,6 +127,7 @@
             held_bytes: 0,
             journal,
             outbox: None,
+            witness: None,
             caller,
             notices,
             ids: HashMap::new(),
@@ -148,6 +152,13 @@
         self
     }
 
+    /// Has what calls show told to peers.
+    #[must_use]
+    pub fn witnessed_by(mut self, witness: mpsc::UnboundedSender<Seen>) -> Self {
+        self.witness = Some(witness);
+        self
+    }
+
     /// Loads the destination set as last held, and takes on again what an earlier process owed.
     ///
     /// # Errors
@@ -371,6 +382,9 @@
         };
         let Some(held) = self.held.get_mut(&id) else { return };
         held.call = None;
+        if let Some(witness) = &self.witness {
+            let _ = witness.send(peering::seen(held.exchange.destination, &end, now));
+        }
         let told = held.trace.as_mut().map(|trace| {
             let told = heard(now, end.outcome, end.evidence);
             trace.ended(end.attempt, now, &told.result, told.effect, told.evidence.clone());
