--- a/crates/record/src/model.rs
+++ b/crates/record/src/model.rs
@@ -129,6 +129,11 @@
     kept
 }
 
+/// Bytes as hexadecimal digits, as a digest is written.
+pub fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
 /// One attempt.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Attempt {
--- a/src/as2.rs
+++ b/src/as2.rs
@@ -15,7 +15,7 @@
 use openssl::stack::Stack;
 use openssl::x509::X509;
 use openssl::x509::store::X509StoreBuilder;
-use record::model::{Effect, Evidence, Expected, Late};
+use record::model::{Effect, Evidence, Expected, Late, hex};
 use tokio::sync::{mpsc, oneshot};
 use tracing::{info, warn};
 
@@ -160,7 +160,7 @@
 
 fn boundary(salt: &str, bytes: &[u8]) -> Result<String, ErrorStack> {
     let digest = hash(MessageDigest::sha256(), &[salt.as_bytes(), bytes].concat())?;
-    Ok(digest.iter().take(16).map(|byte| format!("{byte:02x}")).collect())
+    Ok(hex(digest.get(..16).unwrap_or(&digest)))
 }
 
 /// A MIME part, signed as multipart/signed.
--- a/src/recording.rs
+++ b/src/recording.rs
@@ -7,7 +7,7 @@
 use std::path::Path;
 
 use openssl::sha::sha256;
-use record::model::{Effect, Entry, Evidence, Expected, Final, Trace};
+use record::model::{Effect, Entry, Evidence, Expected, Final, Trace, hex};
 use record::service::{Handle, Options, Standing};
 use record::sql::Target;
 use record::store::Record;
@@ -89,7 +89,6 @@
         &self, exchange: &Exchange, class: &str, tenant: Option<&String>, trace: Trace,
         (at, outcome): (Micros, record::model::Outcome), receipt: Option<Expected>,
     ) -> Entry {
-        let digest = sha256(&exchange.body);
         Entry::Ended(Box::new(Final {
             id: exchange.id.clone(),
             class: class.to_string(),
@@ -100,7 +99,7 @@
             outcome,
             receipt,
             body_length: i64::try_from(exchange.body.len()).unwrap_or(i64::MAX),
-            body_sha256: digest.iter().map(|byte| format!("{byte:02x}")).collect(),
+            body_sha256: hex(&sha256(&exchange.body)),
             trace,
             imported: false,
         }))
@@ -173,7 +172,7 @@
     let mut random = [0; 16];
     openssl::rand::rand_bytes(&mut random)
         .map_err(|error| file_error(&path)(std::io::Error::other(error.to_string())))?;
-    let text: String = random.iter().map(|byte| format!("{byte:02x}")).collect();
+    let text = hex(&random);
     // Written beside and renamed, so that a kill leaves no half of it.
     let beside = state.join("record-holder.new");
     std::fs::write(&beside, &text).map_err(file_error(&beside))?;
--- a/src/store/takeover.rs
+++ b/src/store/takeover.rs
@@ -7,7 +7,7 @@
 
 use ::bytes::Bytes;
 use openssl::sha::sha256;
-use record::model::{Effect, Evidence, Final, Outcome, Trace};
+use record::model::{Effect, Evidence, Final, Outcome, Trace, hex};
 use record::store::Record as Book;
 use record::writer::Failure;
 
@@ -146,7 +146,6 @@
         None => Outcome::Withdrawn,
     };
     let body = taken.as_ref().map_or_else(Bytes::new, |stored| stored.body.clone());
-    let digest = sha256(&body);
     Final {
         id,
         class: taken.as_ref().map_or_else(|| "unknown".into(), |stored| stored.class.clone()),
@@ -159,7 +158,7 @@
         outcome,
         receipt: None,
         body_length: i64::try_from(body.len()).unwrap_or(0),
-        body_sha256: digest.iter().map(|byte| format!("{byte:02x}")).collect(),
+        body_sha256: hex(&sha256(&body)),
         trace,
         imported: true,
     }
