--- a/crates/peers/src/node.rs
+++ b/crates/peers/src/node.rs
@@ -15,9 +15,11 @@
 /// A starter asks so many at once ...
 const ASKED: usize = 3;
 /// ... and so many others, or the same, so often ...
-const ASKS: u32 = 8;
+const ASKS: u32 = 12;
 /// ... while a round of answers brings more than one fact in so many that are known ...
 const WORTH_ASKING: usize = 50;
+/// ... or for so many rounds that did not, one after the other ...
+const QUIET: u32 = 3;
 /// ... so long after the time before.
 const ASK_AGAIN: Micros = SECOND / 4;
 /// Answers of those asked begin spread over this.
@@ -111,6 +113,7 @@
     ask_at: Micros,
     told: Vec<Peer>,
     news_at_ask: u64,
+    quiet: u32,
     short: Vec<(Peer, Item)>,
     tokens: f64,
     tokens_at: Micros,
@@ -135,6 +138,7 @@
             ask_at: now,
             told: Vec::new(),
             news_at_ask: 0,
+            quiet: 0,
             short: Vec::new(),
             tokens: 2.0 * crate::note::MOST as f64,
             tokens_at: now,
@@ -279,6 +283,10 @@
     /// Somebody starts: what is most useful to it, its own part first, so that those asked do not all begin
     /// alike; what others should have told follows in case that it was lost.
     fn asked(&mut self, now: Micros, to: Peer, part: u8, of: u8) {
+        // An answer on its way goes on: begun anew each time, it would never come to its end.
+        if self.answers.iter().any(|answer| answer.to == to) {
+            return;
+        }
         let mut useful: Vec<(f64, (i64, Kind))> = self
             .ledger
             .all(now)
@@ -295,7 +303,6 @@
         let mine = |(destination, _): &(i64, Kind)| destination.unsigned_abs() as usize % of == part;
         let (first, rest): (Vec<_>, Vec<_>) = useful.into_iter().map(|(_, key)| key).partition(mine);
         let from = now + self.rng.random_range(0..=SPREAD);
-        self.answers.retain(|answer| answer.to != to);
         self.answers.push_back(Answer { to, from, keys: first.into_iter().chain(rest).collect() });
     }
 
@@ -394,7 +401,10 @@
         // another.
         let enough = self.told.len() >= ASKED.min(silent.len());
         let news = std::mem::replace(&mut self.news_at_ask, self.counts.news);
-        if enough && ((self.counts.news - news) as usize) <= self.ledger.len() / WORTH_ASKING {
+        let little = (self.counts.news - news) as usize <= self.ledger.len() / WORTH_ASKING;
+        // One such round may be one whose notes were lost.
+        self.quiet = if enough && little { self.quiet + 1 } else { 0 };
+        if self.quiet >= QUIET {
             self.asks = 0;
             return;
         }
--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -1,6 +1,7 @@
 //! The relay at work: reads its configuration, replays its journal, and starts the fronts and the record around
 //! the runtime. Owns the order of start and stop. It must never decide anything about a message.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 
@@ -51,7 +52,10 @@
 }
 
 /// Takes on what a new configuration changes; one that cannot be used leaves all as it is.
-fn reload(start: &Config, new: Result<Config, ConfigError>, to: [&watch::Sender<Option<Arc<str>>>; 2]) {
+fn reload(
+    start: &Config, new: Result<Config, ConfigError>, to: [&watch::Sender<Option<Arc<str>>>; 2],
+    relays: &watch::Sender<Vec<SocketAddr>>,
+) {
     let new = match new {
         Ok(new) => new,
         Err(error) => {
@@ -61,6 +65,9 @@
     for (address, to) in addresses(&new).into_iter().zip(to) {
         to.send_if_modified(|old| std::mem::replace(old, address.clone()) != address);
     }
+    if let Some(peers) = &new.peers {
+        relays.send_if_modified(|old| std::mem::replace(old, peers.all.clone()) != peers.all);
+    }
     let left = start.need_a_start(&new);
     let left =
         if left.is_empty() { String::new() } else { format!("; needs a restart: {}", left.join(", ")) };
@@ -133,9 +140,19 @@
     let known = config.known.take();
     let revision = known.as_ref().map_or(0, |known| known.revision);
     let mut said = Vec::new();
+    let relays = config.peers.as_ref().map(|peers| peers.all.clone()).unwrap_or_default();
+    let (relays, replaced) = watch::channel(relays);
     if let Some(peers) = &config.peers {
         let seed = clock.now().unsigned_abs();
-        let started = peering::start(peers, &config.state, clock, seed, inputs.clone()).await;
+        let started = peering::start(
+            peers,
+            (&config.state, config.snapshot_room()),
+            clock,
+            seed,
+            inputs.clone(),
+            replaced,
+        )
+        .await;
         let (witness, kept) = started.map_err(|error| format!("peers: {error}"))?;
         (runtime, said) = (runtime.witnessed_by(witness), kept);
     }
@@ -174,7 +191,7 @@
     loop {
         tokio::select! {
             end = &mut served => break end?,
-            Some(()) = hangup.recv() => reload(&config, load(true), [&ask, &tell]),
+            Some(()) = hangup.recv() => reload(&config, load(true), [&ask, &tell], &relays),
         }
     }
     for front in fronts {
--- a/src/config.rs
+++ b/src/config.rs
@@ -109,6 +109,10 @@
 const DAY: Micros = 86_400_000_000;
 /// The least disk for a record in SQLite beside the journal, in bytes.
 const LEAST_DISK: u64 = 12_000_000;
+/// Of the disk, this part at most is the snapshot of facts.
+const SNAPSHOT_PART: u64 = 32;
+/// Bytes of notes a second, where nothing else is said.
+const NOTES_PER_S: u32 = 4000;
 /// A megabyte, by the smaller reading.
 const MB: f64 = 1e6;
 
@@ -117,17 +121,24 @@
 }
 
 impl Config {
-    /// The room of the journal: all of the disk, but for what a record in SQLite takes of it.
+    /// The room of the journal: all of the disk, but for what a record in SQLite and the snapshot of facts take of
+    /// it.
     pub fn journal_room(&self) -> Room {
+        let disk = self.limits.disk - if self.peers.is_some() { 2 * self.snapshot_room() } else { 0 };
         match &self.record {
-            None => Room { limit: self.limits.disk, to_end: TO_END },
+            None => Room { limit: disk, to_end: TO_END },
             Some(Recording { target: Target::Sqlite { .. }, .. }) => {
-                Room { limit: self.limits.disk / 4, to_end: TO_END_RECORDED }
+                Room { limit: disk / 4, to_end: TO_END_RECORDED }
             }
-            Some(_) => Room { limit: self.limits.disk, to_end: TO_END_RECORDED },
+            Some(_) => Room { limit: disk, to_end: TO_END_RECORDED },
         }
     }
 
+    /// The most bytes of the snapshot of facts; there are two while one takes the other's place.
+    pub fn snapshot_room(&self) -> u64 {
+        self.limits.disk / SNAPSHOT_PART
+    }
+
     /// The keys in which `new` differs and which count only from the next start on.
     pub fn need_a_start(&self, new: &Config) -> Vec<String> {
         let keys = |config: &Config| {
@@ -135,10 +146,21 @@
         };
         let mut all: BTreeSet<String> = keys(self);
         all.append(&mut keys(new));
-        all.retain(|key| !TAKEN_ON.contains(&key.as_str()) && self.source.get(key) != new.source.get(key));
+        all.retain(|key| !TAKEN_ON.contains(&key.as_str()) && self.needing(key) != new.needing(key));
         all.into_iter().collect()
     }
 
+    /// What stands under a key, but for what a reload takes on of it: the addresses of the other relays.
+    fn needing(&self, key: &str) -> Option<Value> {
+        let mut part = self.source.get(key).cloned();
+        match (key, &mut part) {
+            ("peers", Some(Value::Object(fields))) => drop(fields.remove("all")),
+            ("peers", Some(Value::Array(_))) => part = None,
+            _ => {}
+        }
+        part
+    }
+
     /// Reads the file that `PROXY_CONFIG` names, and the environment, which goes first.
     ///
     /// # Errors
@@ -199,7 +221,13 @@
             discovery,
             notices: discovery,
             record: None,
-            peers: None,
+            peers: match environment("TULIPFALL_NOTES").as_deref() {
+                None | Some("off") => None,
+                Some("on") => platform_peers(value)?,
+                Some(other) => {
+                    return Err(bad("TULIPFALL_NOTES", format!("is {other:?}, expected on or off")));
+                }
+            },
             as2: None,
             state: state.into(),
             seed,
@@ -397,6 +425,29 @@
     }
 }
 
+/// The relay's part among its peers, where the platform lets relays send notes.
+fn platform_peers(value: &Value) -> Result<Option<Peering>, ConfigError> {
+    let (Some(listen), Some(all)) = (value.get("peer_listen"), value.get("peers")) else { return Ok(None) };
+    let address = |key: &str, value: &Value| {
+        let address = value.as_str().and_then(|text| text.parse().ok());
+        address.ok_or_else(|| bad(key, format!("has {value}, expected address:port")))
+    };
+    let all = all.as_array().ok_or_else(|| bad("peers", "is not a list"))?;
+    let all: Vec<SocketAddr> = all.iter().map(|one| address("peers", one)).collect::<Result<_, _>>()?;
+    let me =
+        value.pointer("/settings/MyNumber").and_then(Value::as_u64).and_then(|me| u16::try_from(me).ok());
+    let me = me.filter(|me| usize::from(*me) < all.len());
+    Ok(Some(Peering {
+        me: me.ok_or_else(|| bad("settings.MyNumber", "names none of peers"))?,
+        listen: address("peer_listen", listen)?,
+        all,
+        bytes_per_s: NOTES_PER_S,
+        keys: Keys::default(),
+        warm: true,
+        control: None,
+    }))
+}
+
 /// A key for notes has at least so many bytes.
 const LEAST_KEY: usize = 16;
 
@@ -429,7 +480,7 @@
         me: u16::try_from(me).map_err(|_| table.bad("me", "is over 65535"))?,
         listen,
         all,
-        bytes_per_s: table.number("bytes_per_s", 512.0, Some(4000.0))? as u32,
+        bytes_per_s: table.number("bytes_per_s", 512.0, Some(f64::from(NOTES_PER_S)))? as u32,
         keys: Keys(keys),
         warm: table.get("warm_start").is_none_or(|value| value.as_bool() != Some(false)),
         control: table.maybe_text("control")?.map(|path| folder.join(path)),
--- a/src/peering.rs
+++ b/src/peering.rs
@@ -13,7 +13,7 @@
 use serde_json::{Value, json};
 use tokio::io::{AsyncBufReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{UdpSocket, UnixListener, UnixStream};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 use tracing::{debug, info, warn};
 
 use crate::exchange::{CallEnd, Clock, Input};
@@ -22,8 +22,10 @@
 /// The snapshot is written so often, and so soon after a trouble that began or ended, or news of one.
 const SNAPSHOT_EVERY: Micros = 2_000_000;
 const SNAPSHOT_SOON: Micros = 100_000;
-/// It has at most so many facts, and bytes for each.
+/// Facts of its own and of others each that are known at the most.
 const MOST_FACTS: usize = 4096;
+/// What a fact takes in the snapshot at the most, in bytes.
+const FACT_BYTES: u64 = 192;
 
 /// How a relay is set up among its peers.
 #[derive(Clone, Debug)]
@@ -77,18 +79,22 @@
     witness: Witness,
     inputs: mpsc::Sender<Input>,
     all: Vec<SocketAddr>,
+    replaced: watch::Receiver<Vec<SocketAddr>>,
     socket: UdpSocket,
     snapshot: PathBuf,
+    snapshot_most: usize,
     snapshot_at: Micros,
 }
 
 /// Starts the relay's part among its peers; what its calls show goes into the sender, what peers say into `inputs`.
-/// Also what an earlier process of this relay kept, for before it takes on again what is owed.
+/// Also what an earlier process of this relay kept, for before it takes on again what is owed. The snapshot in the
+/// state folder takes at most `room` bytes. Another set of relays comes by `replaced`.
 ///
 /// # Errors
 /// Where a socket is not to be had.
 pub async fn start(
-    peering: &Peering, state: &Path, clock: Clock, seed: u64, inputs: mpsc::Sender<Input>,
+    peering: &Peering, (state, room): (&Path, u64), clock: Clock, seed: u64, inputs: mpsc::Sender<Input>,
+    replaced: watch::Receiver<Vec<SocketAddr>>,
 ) -> std::io::Result<(mpsc::UnboundedSender<Seen>, Vec<Hearsay>)> {
     let now = clock.now();
     let config = Config {
@@ -131,8 +137,10 @@
         witness: Witness::default(),
         inputs,
         all: peering.all.clone(),
+        replaced,
         socket,
         snapshot,
+        snapshot_most: usize::try_from(room / FACT_BYTES).unwrap_or(usize::MAX),
         snapshot_at: now + SNAPSHOT_EVERY,
     };
     tokio::spawn(shell.run(told, control));
@@ -183,6 +191,11 @@
                         Err(error) => debug!("note of {n} bytes from {from}: {error}"),
                     }
                 }
+                Ok(()) = self.replaced.changed() => {
+                    self.all = self.replaced.borrow_and_update().clone();
+                    self.node.replace((0..self.all.len()).filter_map(|n| Peer::try_from(n).ok()).collect());
+                    info!("{} relays in all", self.all.len());
+                }
                 asked = accept(control.as_ref()) => {
                     if let Ok(stream) = asked {
                         let answer = self.show();
@@ -196,8 +209,10 @@
 
     /// Writes what is acted on beside the journal; a kill leaves the old one or the new one.
     fn keep(&self, now: Micros) {
-        let kept: Vec<Fact> =
-            self.node.ledger().acted_on(now).filter(|fact| fact.known.differs(now) >= 1.0).collect();
+        let worth_it = |fact: &Fact| fact.known.differs(now) >= 1.0;
+        let mut kept: Vec<Fact> = self.node.ledger().acted_on(now).filter(worth_it).collect();
+        kept.sort_by(|a, b| b.known.differs(now).total_cmp(&a.known.differs(now)));
+        kept.truncate(self.snapshot_most);
         let beside = self.snapshot.with_extension("new");
         let written = serde_json::to_vec(&kept).map_err(std::io::Error::other);
         let written = written.and_then(|bytes| std::fs::write(&beside, bytes));
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -102,4 +102,31 @@
     let deploy = root.join("deploy/muscat-checkin-as2.toml");
     let error = Config::load_file(&deploy, none).expect_err("no keys").to_string();
     assert!(error.starts_with("as2.key: ") && error.contains("sahil-relay.key.pem"), "{error}");
+    let deploy = root.join("deploy/muscat-checkin-peers.toml");
+    let error = Config::load_file(&deploy, none).expect_err("no key").to_string();
+    assert!(error.starts_with("peers.key.0.file: ") && error.contains("muscat-checkin-peers.key"), "{error}");
+}
+
+#[test]
+fn notes_are_off_on_the_platform_unless_the_environment_says_so() {
+    let mut object: Value = serde_json::from_str(include_str!("config/platform.json")).expect("JSON");
+    let read = |object: &Value, notes: Option<&str>| {
+        Config::read(object, |name| match name {
+            "PROXY_STATE" => Some("/state".to_string()),
+            "TULIPFALL_NOTES" => notes.map(String::from),
+            _ => None,
+        })
+    };
+    let off = read(&object, None).expect("sound");
+    assert!(off.peers.is_none() && read(&object, Some("off")).expect("sound").peers.is_none());
+    let error = |object: &Value, notes| read(object, Some(notes)).expect_err("a fault").to_string();
+    assert!(error(&object, "maybe").starts_with("TULIPFALL_NOTES"));
+    assert!(error(&object, "on").starts_with("settings.MyNumber"), "who it is has to be told");
+    object["settings"]["MyNumber"] = 0.into();
+    let on = read(&object, Some("on")).expect("sound");
+    let peers = on.peers.as_ref().expect("notes");
+    assert_eq!((peers.me, peers.all.len(), peers.listen.port()), (0, 1, 7946));
+    // The snapshot and the one that takes its place are inside the disk.
+    assert!(on.journal_room().limit + 2 * on.snapshot_room() <= on.limits.disk);
+    assert!(on.journal_room().limit < off.journal_room().limit);
 }
--- a/tests/peers.rs
+++ b/tests/peers.rs
@@ -108,3 +108,37 @@
     let _first = start(&files[0]);
     until(|| knows_trouble(&files[0], 0));
 }
+
+#[test]
+fn a_reload_takes_on_another_set_of_relays() {
+    let folder = folder("peers-reload");
+    let free: Vec<_> = (0..3).map(|_| UdpSocket::bind("127.0.0.1:0").expect("a socket")).collect();
+    let notes: Vec<String> =
+        free.iter().map(|socket| socket.local_addr().expect("an address").to_string()).collect();
+    drop(free);
+    let endpoint = shut();
+    let file = configuration(&folder, 0, &notes[..2], &endpoint);
+    let first = start(&file);
+    let peers = || shown("peers", &file).as_array().map(Vec::len);
+    assert_eq!(peers(), Some(1));
+    // A set that this relay is not part of is refused as a whole.
+    let text = std::fs::read_to_string(&file).expect("a file");
+    std::fs::write(&file, text.replace("me = 0", "me = 7")).expect("a file");
+    first.signal("-HUP");
+    first.logged("the old one stays");
+    configuration(&folder, 0, &notes[..2], &endpoint);
+    assert_eq!(peers(), Some(1));
+    configuration(&folder, 0, &notes, &endpoint);
+    first.signal("-HUP");
+    first.logged("configuration read again");
+    until(|| peers() == Some(2));
+    // The one that came hears of it, and is heard.
+    let _third = start(&configuration(&folder, 2, &notes, &endpoint));
+    until(|| shown("peers", &file)[1]["heard_s_ago"].is_number());
+    // What a reload does not take on is named.
+    let text = std::fs::read_to_string(&file).expect("a file");
+    std::fs::write(&file, text.replace("per_s = 8", "per_s = 9").replace("me = 0", "me = 1"))
+        .expect("a file");
+    first.signal("-HUP");
+    first.logged("needs a restart: destination, peers");
+}
