Judge a sighting once, read peers' addresses in one place, and drop a second test loop

Read once more, the change had the same judgement made twice for each call seen (before it was noted, and by it), the reading of an address in a list written twice, two loops in the tests of hearsay that differ in what they note, and ids of messages used twice there.

Node::observe tells whether a sighting turns what was believed; one function reads an address of a list; one loop serves the tests, with their assertions as they were. A product in the module saturates instead of being guarded.

--- a/crates/peers/src/node.rs
+++ b/crates/peers/src/node.rs
@@ -173,9 +173,11 @@
         self.config.peers = peers;
     }
 
-    /// This relay saw something of a destination; `traffic` is what it sends there, in calls a second.
-    pub fn observe(&mut self, now: Micros, destination: i64, known: Known, traffic: f64) {
-        let turns = self.turns(now, destination, &known);
+    /// This relay saw something of a destination; `traffic` is what it sends there, in calls a second. Tells whether
+    /// it turns what was believed: a trouble begun or over, or a wait told.
+    pub fn observe(&mut self, now: Micros, destination: i64, known: Known, traffic: f64) -> bool {
+        let before = self.ledger.believed(now, destination, known.kind()).map(|(fact, _)| fact.known);
+        let turns = changed(before.as_ref(), &known, now);
         self.ledger.observe(now, destination, known);
         if self.traffic.len() < self.config.most_facts || self.traffic.contains_key(&destination) {
             self.traffic.insert(destination, traffic);
@@ -183,12 +185,7 @@
         if turns {
             self.change((destination, known.kind()));
         }
-    }
-
-    /// Whether what was seen turns what is believed: a trouble begun or over, or a wait told.
-    pub fn turns(&self, now: Micros, destination: i64, known: &Known) -> bool {
-        let before = self.ledger.believed(now, destination, known.kind()).map(|(fact, _)| fact.known);
-        changed(before.as_ref(), known, now)
+        turns
     }
 
     /// What an earlier process of this relay saw or heard then.
--- a/crates/proofs/src/warm_start.rs
+++ b/crates/proofs/src/warm_start.rs
@@ -250,13 +250,14 @@
 }
 
 impl World {
-    fn at(&self, instant: Instant) -> f64 {
-        instant.saturating_duration_since(self.zero).as_secs_f64()
+    /// Seconds since the load began.
+    fn now(&self) -> f64 {
+        self.zero.elapsed().as_secs_f64()
     }
 
     /// A call came: what becomes of it.
     fn called(&self, partner: usize, relay: usize, id: &str) -> Answer {
-        let at = self.at(Instant::now());
+        let at = self.now();
         let script = &self.scripts[partner];
         let mut seen = self.seen[partner].lock().unwrap_or_else(PoisonError::into_inner);
         let (from, until) = seen.waits[relay];
@@ -537,7 +538,7 @@
     // Its clients follow the address of the one that they knew.
     again.address = relays[0].address.clone();
     again.start()?;
-    if world.at(Instant::now()) > KILL + DOWN {
+    if world.now() > KILL + DOWN {
         return Err("the relay took longer to start than its clients stay away; nothing is counted".into());
     }
     sleep_until((zero + Duration::from_secs_f64(END)).into()).await;
--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -40,7 +40,8 @@
 const FILES: usize = 24;
 /// Inputs on their way to the runtime.
 const INPUTS: usize = 1024;
-/// `load` reads the configuration, and is told whether it does so again.
+
+/// Runs a relay until it is stopped. `load` reads the configuration, and is told whether it does so again.
 pub fn start(load: impl Fn(bool) -> Result<Config, ConfigError>) -> Result<(), Failure> {
     let config = load(false)?;
     tokio::runtime::Builder::new_current_thread().enable_all().build()?.block_on(run(config, load))
@@ -144,16 +145,9 @@
     let (relays, replaced) = watch::channel(relays);
     if let Some(peers) = &config.peers {
         let seed = clock.now().unsigned_abs();
-        let started = peering::start(
-            peers,
-            (&config.state, config.snapshot_room()),
-            clock,
-            seed,
-            inputs.clone(),
-            replaced,
-        )
-        .await;
-        let (witness, kept) = started.map_err(|error| format!("peers: {error}"))?;
+        let snapshot = (config.state.as_path(), config.snapshot_room());
+        let among = peering::start(peers, snapshot, clock, seed, inputs.clone(), replaced).await;
+        let (witness, kept) = among.map_err(|error| format!("peers: {error}"))?;
         (runtime, said) = (runtime.witnessed_by(witness), kept);
     }
     runtime.resume(known.map(|known| known.members).unwrap_or_default(), said, replay)?;
--- a/src/config.rs
+++ b/src/config.rs
@@ -425,13 +425,16 @@
     }
 }
 
+/// An address of a list, or what stands there instead.
+fn address_in(value: &Value) -> Result<SocketAddr, String> {
+    let address = value.as_str().and_then(|text| text.parse().ok());
+    address.ok_or_else(|| format!("has {value}, expected address:port"))
+}
+
 /// The relay's part among its peers, where the platform lets relays send notes.
 fn platform_peers(value: &Value) -> Result<Option<Peering>, ConfigError> {
     let (Some(listen), Some(all)) = (value.get("peer_listen"), value.get("peers")) else { return Ok(None) };
-    let address = |key: &str, value: &Value| {
-        let address = value.as_str().and_then(|text| text.parse().ok());
-        address.ok_or_else(|| bad(key, format!("has {value}, expected address:port")))
-    };
+    let address = |key: &str, value| address_in(value).map_err(|why| bad(key, why));
     let all = all.as_array().ok_or_else(|| bad("peers", "is not a list"))?;
     let all: Vec<SocketAddr> = all.iter().map(|one| address("peers", one)).collect::<Result<_, _>>()?;
     let me =
@@ -454,10 +457,7 @@
 fn operator_peers(table: &Table, folder: &Path) -> Result<Peering, ConfigError> {
     let listen = table.address("listen")?.ok_or_else(|| table.bad("listen", "is missing"))?;
     let named = table.get("all").and_then(Value::as_array).cloned().unwrap_or_default();
-    let address = |value: &Value| {
-        let address = value.as_str().and_then(|text| text.parse().ok());
-        address.ok_or_else(|| table.bad("all", format!("has {value}, expected address:port")))
-    };
+    let address = |value| address_in(value).map_err(|why| table.bad("all", why));
     let all: Vec<SocketAddr> = named.iter().map(address).collect::<Result<_, _>>()?;
     let me = table.number("me", 0.0, None)? as usize;
     if me >= all.len() {
--- a/src/peering.rs
+++ b/src/peering.rs
@@ -167,10 +167,11 @@
                 seen = told.recv() => match seen {
                     Some(seen) => {
                         let (known, traffic) = self.witness.saw(&seen);
-                        if known.iter().any(|known| self.node.turns(seen.ended, seen.destination, known)) {
-                            self.snapshot_at = self.snapshot_at.min(seen.ended + SNAPSHOT_SOON);
+                        for known in known {
+                            if self.node.observe(seen.ended, seen.destination, known, traffic) {
+                                self.snapshot_at = self.snapshot_at.min(seen.ended + SNAPSHOT_SOON);
+                            }
                         }
-                        known.into_iter().for_each(|known| self.node.observe(seen.ended, seen.destination, known, traffic));
                     }
                     None => return,
                 },
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -755,7 +755,7 @@
         let Some(place) = self.destinations.get(&told.destination).filter(|d| !d.apart) else { return };
         let (lane, settings) = (&mut self.lanes[place.lane], &self.settings);
         let jitter = jitter(settings, self.seed ^ self.calls_made);
-        let trial = lane.usual_gap(settings.senders).min(NEVER / SHARED_TRIAL) * SHARED_TRIAL;
+        let trial = lane.usual_gap(settings.senders).saturating_mul(SHARED_TRIAL);
         let trial = ((1.0 + jitter) * trial.min(settings.rules.cold / 2) as f64) as Micros;
         let (last, back) = (lane.pacer.last_start, lane.trouble.as_ref().and_then(|trouble| trouble.back));
         let seen = lane.good.map(|good| good + settings.rules.cold).max(last);
--- a/tests/hearsay.rs
+++ b/tests/hearsay.rs
@@ -18,23 +18,8 @@
     sent(&rig.event(Event::Told(Hearsay { destination: DestinationId(1), at: rig.now, word })))
 }
 
-/// A second's messages, one in 250 ms, with a word before each; those sent, and when.
-fn traffic(rig: &mut Rig, from: u64, seconds: u64, word: impl Fn(u64) -> Option<Word>) -> Vec<(Micros, u64)> {
-    let mut went = vec![];
-    for id in from..from + 4 * seconds {
-        if let Some(word) = word(id) {
-            went.extend(told(rig, word).into_iter().map(|id| (rig.now, id)));
-        }
-        went.extend(sent(&rig.arrive(id, SAFE, 1)).into_iter().map(|id| (rig.now, id)));
-        for _ in 0..10 {
-            let late = sent(&only(rig.pass(25 * MS)));
-            went.extend(late.into_iter().map(|id| (rig.now, id)));
-        }
-    }
-    went
-}
-
-/// The same, where each call is answered so at once.
+/// Traffic of a message in 250 ms, where each call is answered so at once and a word may come before each step of
+/// 25 ms; when calls left.
 fn answered(
     rig: &mut Rig, seconds: u64, outcome: Outcome, word: impl Fn(u64) -> Option<Word>,
 ) -> Vec<Micros> {
@@ -45,7 +30,7 @@
             out.extend(told(rig, word));
         }
         if step % 10 == 0 {
-            out.extend(sent(&rig.arrive(1000 + step, SAFE, 1)));
+            out.extend(sent(&rig.arrive(rig.now.unsigned_abs(), SAFE, 1)));
         }
         out.extend(sent(&only(rig.pass(25 * MS))));
         while let Some(id) = out.pop() {
@@ -106,11 +91,11 @@
 fn a_hold_ends_when_a_peer_sees_it_answer() {
     let mut rig = three();
     told(&mut rig, SHUT);
-    assert!(traffic(&mut rig, 1, 1, |_| None).is_empty(), "held");
+    assert!(answered(&mut rig, 1, Outcome::Ok, |_| None).is_empty(), "held");
     told(&mut rig, Word::Answers(None));
     let freed = rig.now;
-    let went = traffic(&mut rig, 100, 3, |_| None);
-    assert!(went.first().is_some_and(|(at, _)| *at - freed <= 2 * S), "{went:?}");
+    let went = answered(&mut rig, 3, Outcome::Ok, |_| None);
+    assert!(went.first().is_some_and(|at| *at - freed <= 2 * S), "{went:?}");
 }
 
 #[test]
