Take few connections for no outage, and spread first calls over a destination's endpoints

Counted over the fleet, each of a hundred relays keeps an idle connection to the endpoint, which fills it; the next one that comes is turned away, takes that for a full or shut destination (learn: only with a call of its own out was it a lack of connections), needs a turn, and ends what it holds at once. All relays also called the lowest-numbered endpoint first. Ruled out: the limit (a third of it was used) and discovery (no list was asked for).

Turned away for want of connections now never signals and never counts as trouble; the endpoint is tried again after a jittered pause, and the kind's idle connections are let go, as with resets on idle ones. Endpoints with the same number of calls out are taken in an order that differs between relays and calls.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -78,6 +78,7 @@
 
 pub mod as2;
 pub mod config;
+pub mod draw;
 pub mod exchange;
 pub mod interface;
 pub mod net;
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -51,7 +51,17 @@
         };
         let (id, attempt, target) = (call.exchange.id.clone(), call.attempt, call.target);
         let destination = call.exchange.destination;
-        debug!(message = id, attempt, destination, endpoint = &*call.address, ?outcome, "attempt ended");
+        debug!(
+            message = id,
+            attempt,
+            destination,
+            endpoint = &*call.address,
+            ?outcome,
+            began,
+            left = report.left,
+            limit = report.limit,
+            "attempt ended"
+        );
         let evidence = progress.evidence();
         let end = CallEnd { id, attempt, target, outcome, over, began, report, evidence };
         let _ = self.inputs.send(Input::Ended(end)).await;
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -8,6 +8,7 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
+use crate::draw::{jitter, scatter, stretched};
 use crate::interface::*;
 
 /// Factor of the interval on each consecutive signal (the design's back-off).
@@ -651,12 +652,13 @@
         let lane = &mut self.lanes[call.lane];
         endpoint.out = endpoint.out.saturating_sub(1);
         lane.out = lane.out.saturating_sub(1);
-        // Guards the pace against an endpoint's few connections, which are no limit on calls: one of its own
-        // is waited for. With none there it may be shut, and what it says counts as full.
-        let few = outcome == Outcome::Crowded && endpoint.out > 0;
-        let outcome = if few || outcome != Outcome::Crowded { outcome } else { Outcome::Full(None) };
+        let jitter = jitter(self.settings.senders, self.seed ^ call_id);
+        // Guards the pace against an endpoint's few connections, which are no limit on calls and no outage:
+        // one of its own is waited for. The idle ones of many senders fill them, so this one lets go of its own.
+        let few = outcome == Outcome::Crowded;
         if few {
-            (endpoint.most, endpoint.more_at) = (Some(endpoint.out), now + CROWDED_FOR);
+            let pause = stretched(CROWDED_FOR, self.settings.senders, self.seed ^ call_id);
+            (endpoint.most, endpoint.more_at) = (Some(endpoint.out), now + pause);
         } else if outcome == Outcome::Ok {
             endpoint.most = endpoint.most.map(|most| most.max(endpoint.out + 1));
         }
@@ -680,7 +682,7 @@
         // little. A call that failed on one is not held against the destination. It also catches restarts and
         // middleboxes that drop them; it hurts, by handshakes, where resets have another cause.
         let dropped = failed && call.reused && outcome != Outcome::Error;
-        let refused = outcome == Outcome::ConnectFailed && endpoint.failures == 0;
+        let refused = few || outcome == Outcome::ConnectFailed && endpoint.failures == 0;
         if let Some(crowding) = self.crowding.get_mut(endpoint.kind)
             && (dropped || refused || outcome == Outcome::Ok)
         {
@@ -689,7 +691,6 @@
         }
         let hard = failed && !dropped;
         let repeated = hard && outcome != Outcome::ConnectFailed;
-        let jitter = jitter(&self.settings, self.seed ^ call_id);
         self.learn_health(now, target, outcome, hard, jitter, call);
         let lane = &mut self.lanes[call.lane];
         match outcome {
@@ -754,7 +755,7 @@
     fn told(&mut self, now: Micros, told: &Hearsay) {
         let Some(place) = self.destinations.get(&told.destination).filter(|d| !d.apart) else { return };
         let (lane, settings) = (&mut self.lanes[place.lane], &self.settings);
-        let jitter = jitter(settings, self.seed ^ self.calls_made);
+        let jitter = jitter(settings.senders, self.seed ^ self.calls_made);
         let trial = lane.usual_gap(settings.senders).saturating_mul(SHARED_TRIAL);
         let trial = ((1.0 + jitter) * trial.min(settings.rules.cold / 2) as f64) as Micros;
         let (last, back) = (lane.pacer.last_start, lane.trouble.as_ref().and_then(|trouble| trouble.back));
@@ -838,12 +839,13 @@
                         let fee = self.settings.zone_fee.get(endpoint.zone).copied().unwrap_or(0.0);
                         let fee = if destination.apart { (fee * SECOND) as u64 } else { 0 };
                         let warm = endpoint.warm(now, self.settings.connection_idle);
-                        let order = (!joins, endpoint.out, !warm, fee, *target);
+                        let spread = scatter(self.seed ^ self.calls_made, target.0);
+                        let order = (!joins, endpoint.out, !warm, fee, spread, *target);
                         choice = Some(choice.map_or(order, |best| order.min(best)));
                     }
                 }
             }
-            if let Some((_, _, _, _, target)) = choice {
+            if let Some((.., target)) = choice {
                 return Ok((*rank, *id, target));
             }
         }
@@ -973,7 +975,11 @@
                 }
                 lane.out += 1;
                 lane.pacer.started(now);
-                lane.take_turn(&self.settings, now, jitter(&self.settings, self.seed ^ self.calls_made));
+                lane.take_turn(
+                    &self.settings,
+                    now,
+                    jitter(self.settings.senders, self.seed ^ self.calls_made),
+                );
                 self.calls_made
             }
         };
@@ -1009,14 +1015,6 @@
     }
 }
 
-/// A draw that differs between senders, from minus to plus half the others' part of all senders.
-fn jitter(settings: &Settings, salt: u64) -> f64 {
-    let mut mixed = (salt ^ (salt >> 29)).wrapping_mul(0x9E37_79B9_7F4A_7C15);
-    mixed = (mixed ^ (mixed >> 32)).wrapping_mul(0xD6E8_FEB8_6659_FD93);
-    let draw = (mixed >> 40) as f64 / (1u64 << 24) as f64;
-    (draw - 0.5) * (1.0 - 1.0 / f64::from(settings.senders))
-}
-
 /// The base is this sender's part of the rate. Departure: with many senders few have work at a time, and
 /// their full part would outlast the aims; so it is at most a part of the shortest aim.
 fn set_rate(lane: &mut Lane, rate: f64, senders: u32, shortest_aim: Micros) {
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -63,6 +63,32 @@
     assert_eq!(closes(&rig.done(20, 1, Outcome::Ok)), 1, "and idle ones of the kind are not trusted");
 }
 
+/// Among a hundred, an endpoint's few connections are held idle by those that called last. That is no outage.
+#[test]
+fn an_endpoint_without_a_connection_to_spare_is_tried_again_and_no_idle_one_is_kept_there() {
+    let mut rig = one_of(100);
+    rig.list(ListForm::Changes, vec![entry(1, 1, 200.0)]);
+    rig.arrive(1, SAFE, 1);
+    rig.now += 20 * MS;
+    let turned_away = rig.done(1, 1, Outcome::Crowded);
+    assert_eq!(ended(&turned_away), [], "it is not given up: {turned_away:?}");
+    assert_eq!(sent(&only(rig.pass(S / 2))), [1], "it goes again soon");
+    rig.now += 100 * MS;
+    assert_eq!(closes(&rig.done(1, 1, Outcome::Ok)), 1, "others need the connection");
+}
+
+#[test]
+fn senders_do_not_all_favour_the_same_endpoint() {
+    let to_the_first = (0..100).filter(|seed| {
+        let mut rig = one_of(100);
+        rig.relay = Relay::new(Settings { senders: 100, ..settings() }, *seed).expect("sound");
+        rig.list(ListForm::All, vec![entry(1, 1, 4.0), entry(2, 1, 4.0), entry(3, 1, 4.0)]);
+        rig.arrive(1, SAFE, 1).iter().any(|a| matches!(a, Action::Send { target: TargetId(1), .. }))
+    });
+    let count = to_the_first.count();
+    assert!((20..=46).contains(&count), "{count} of 100 call the first of three endpoints");
+}
+
 #[test]
 fn an_endpoint_listed_under_another_destination_serves_that_one_alone() {
     let mut rig = one_of(1);
