--- a/src/rules.rs
+++ b/src/rules.rs
@@ -654,7 +654,7 @@
         lane.out = lane.out.saturating_sub(1);
         let jitter = jitter(self.settings.senders, self.seed ^ call_id);
         // Guards the pace against an endpoint's few connections, which are no limit on calls and no outage:
-        // one of its own is waited for. The idle ones of many senders fill them, so this one lets go of its own.
+        // one of its own is waited for. Idle ones of many senders fill them, so this one lets its own go.
         let few = outcome == Outcome::Crowded;
         if few {
             let pause = stretched(CROWDED_FOR, self.settings.senders, self.seed ^ call_id);
