Ask an overbooked discovery at the pace of the fleet, and for what was missed only

Ruled out: the watch itself (11 relays that had one were told of every change).

A relay's pause is now 20 ms times the number of relays, drawn from half to one and a half times and doubled up to four times; the first call is spread over that span too; and after a failure it asks by the version it holds, which brings what it missed.

--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -154,7 +154,8 @@
 
     let [asked, told] = addresses(&config);
     let ((ask, asked), (tell, told)) = (watch::channel(asked), watch::channel(told));
-    tokio::spawn(discovery::follow(clock, asked, revision, inputs.clone()));
+    let back_off = discovery::BackOff::new(config.settings.senders, config.seed);
+    tokio::spawn(discovery::follow(clock, asked, revision, back_off, inputs.clone()));
     tokio::spawn(discovery::notify(clock, told, owed, inputs.clone()));
     let mut fronts = vec![platform.clone()];
     if let Some((address, as2)) = as2 {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -13,6 +13,7 @@
 use super::http::{Codec, Message, Start};
 use tracing::{info, warn};
 
+use crate::draw;
 use crate::exchange::{Clock, Input, Member, Notice};
 use crate::interface::{ListForm, Listed, Micros};
 use crate::wire::RawEntry;
@@ -23,8 +24,45 @@
 const WATCH_MS: i64 = 20_000;
 /// An answer that is so late will not come.
 const SILENCE: Micros = 2_000_000;
-/// After a failure the next call comes after this.
-const PAUSE: Micros = 50_000;
+/// Discovery is asked about once in so long by all relays together, where it does not answer.
+const PAUSE: Micros = 20_000;
+/// Most doublings of a relay's pause.
+const MOST_DOUBLINGS: u32 = 4;
+
+/// The pauses between calls that fail. Guards discovery against a fleet: a hundred relays that are turned away
+/// together, and ask again in step or soon, keep it from answering any of them.
+#[derive(Clone, Copy, Debug)]
+pub struct BackOff {
+    seed: u64,
+    relays: u32,
+    failures: u32,
+}
+
+impl BackOff {
+    /// The pauses of one of so many relays; the seed tells it from others.
+    pub fn new(relays: u32, seed: u64) -> Self {
+        BackOff { seed, relays, failures: 0 }
+    }
+
+    /// Before the first call: relays of one release start together.
+    pub fn start(&mut self) -> Micros {
+        let part = draw::unit(self.seed);
+        (part * (f64::from(self.relays.saturating_sub(1)) * PAUSE as f64)) as Micros
+    }
+
+    /// A call was answered.
+    pub fn answered(&mut self) {
+        self.failures = 0;
+    }
+
+    /// A call failed; the pause until the next.
+    pub fn failed(&mut self) -> Micros {
+        let usual = f64::from(self.relays.max(2) << self.failures.min(MOST_DOUBLINGS)) * PAUSE as f64;
+        self.failures += 1;
+        self.seed = self.seed.wrapping_add(u64::from(self.failures));
+        (usual * (0.5 + draw::unit(self.seed))) as Micros
+    }
+}
 
 /// A list or changes to one, as the agent tells it.
 #[derive(Clone, Debug, PartialEq)]
@@ -89,8 +127,11 @@
 }
 
 /// Follows the list from `revision` on, at whatever address is the newest.
-pub async fn follow(clock: Clock, mut address: Address, mut revision: i64, inputs: mpsc::Sender<Input>) {
+pub async fn follow(
+    clock: Clock, mut address: Address, mut revision: i64, mut back_off: BackOff, inputs: mpsc::Sender<Input>,
+) {
     let mut kept = None;
+    pause(clock, &mut address, back_off.start()).await;
     let mut gap = false;
     loop {
         let Some(at) = address.borrow_and_update().clone() else {
@@ -115,10 +156,12 @@
                 continue;
             }
         };
+        tracing::debug!(path, got = ?answer.as_ref().map(|a| (a.start.clone(), a.body.len())), "list asked");
         let answer = answer.filter(|answer| answer.start == Start::Response(200));
         let read = answer.map(|a| serde_json::from_slice::<Value>(&a.body).map_err(|e| e.to_string()));
         match read.map(|value| value.and_then(|value| told(&value))) {
             Some(Ok(told)) => {
+                back_off.answered();
                 // A whole list that is older than what is held tells nothing new.
                 gap = false;
                 if told.revision < revision {
@@ -136,17 +179,18 @@
                 if let Some(Err(why)) = failed {
                     warn!("discovery: {why}");
                 }
-                (gap, kept) = (true, None);
-                pause(clock, &mut address).await;
+                // The version held says what was missed; a whole list of every relay is what overbooks discovery.
+                kept = None;
+                pause(clock, &mut address, back_off.failed()).await;
             }
         }
     }
 }
 
 /// Waits a little, or until there is another address.
-async fn pause(clock: Clock, address: &mut Address) {
+async fn pause(clock: Clock, address: &mut Address, span: Micros) {
     tokio::select! {
-        () = tokio::time::sleep_until(clock.instant(clock.now() + PAUSE)) => {}
+        () = tokio::time::sleep_until(clock.instant(clock.now() + span)) => {}
         Ok(()) = address.changed() => {}
     }
 }
@@ -182,7 +226,7 @@
                 other => {
                     warn!("notices not acknowledged: {other:?}");
                     kept = None;
-                    pause(clock, &mut address).await;
+                    pause(clock, &mut address, PAUSE).await;
                 }
             }
         }
