--- a/tests/permits.rs
+++ b/tests/permits.rs
@@ -88,7 +88,7 @@
 #[test]
 fn what_waits_for_a_slot_is_not_given_up_where_a_steward_leads() {
     let mut rig = Rig::new(Settings { senders: 100, stewards: true, slots: 2, ..settings() });
-    rig.list(ListForm::All, vec![entry(1, 1, 40.0), entry(2, 2, 4000.0)]);
+    rig.list(ListForm::All, vec![entry(1, 1, 10.0), entry(2, 2, 4000.0)]);
     rig.arrive(1, SAFE, 1);
     permit(&mut rig, 1);
     rig.done(1, 1, Outcome::ConnectFailed);
