--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -138,3 +138,29 @@
     };
     read(text).unwrap_or_default()
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_report_that_makes_no_sense_tells_nothing() {
+        let told = report("x0=0.4, x1=25");
+        assert_eq!((told.left, told.limit), (Some(0.4), Some(25.0)));
+        for text in
+            ["", "x1", "x1=", "x1=many", "x1=NaN", "x1=-4", "x1=inf", "x1=1e300", "x0=0.4,x1=25,x1=?", "=,="]
+        {
+            assert_eq!(report(text), Report::default(), "{text:?}");
+        }
+    }
+
+    #[test]
+    fn a_wait_that_makes_no_sense_is_none_and_a_huge_one_is_a_day() {
+        let wait = |text: &str| full(&Message::request("GET", "/").with("Retry-After", text));
+        assert_eq!(wait("0.25"), Some(250_000));
+        for text in ["", "soon", "-1", "0", "NaN", "inf", "Wed, 21 Oct 2026 07:28:00 GMT"] {
+            assert_eq!(wait(text), None, "{text:?}");
+        }
+        assert_eq!(wait("1e12"), Some(86_400_000_000));
+    }
+}
