Ask stewards by the number of senders, so that a few relays are served as before

The bound is now on the time in which one relay makes as many calls as there are relays: over four aims.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -27,8 +27,9 @@
 const UNLISTED_PART_OF_AIM: Micros = 10;
 /// The base interval is at most the shortest aim over this.
 const BASE_PART_OF_AIM: Micros = 4;
-/// A steward is asked where a sender's part of the rate is a call in more than the shortest aim over this.
-const ASK_PART_OF_AIM: Micros = 16;
+/// A steward is asked where as many calls of one sender as there are senders take more than so many shortest
+/// aims: by its own outcomes it would learn too late what all do. Few senders see each other's soon.
+const ASK_AIMS: Micros = 4;
 /// An answer is overdue, and a call timed out, after the mean answer time and so many mean deviations.
 const DEVIATIONS: Micros = 5;
 /// Time-outs stay between so many aims, which an unsafe message gets, and this part of the deadline.
@@ -277,9 +278,9 @@
 
     // ---- permits ----
 
-    /// What waits beyond the permits held, where a sender's part of the rate is little for its aim.
+    /// What waits beyond the permits held, where one sender's calls tell too late what all do.
     fn ask(&mut self, now: Micros, actions: &mut Vec<Action>) {
-        let gap = self.shortest_aim() / ASK_PART_OF_AIM;
+        let gap = ASK_AIMS * self.shortest_aim() / Micros::from(self.settings.senders);
         let free = (self.settings.slots as usize).saturating_sub(self.calls.len());
         for (id, destination) in self.destinations.iter().filter(|(_, d)| self.settings.stewards && !d.apart)
         {
--- a/tests/permits.rs
+++ b/tests/permits.rs
@@ -97,3 +97,11 @@
     let later = only(rig.pass(1500 * MS));
     assert_eq!(ended(&later), [], "message 1 waits for a slot: {later:?}");
 }
+
+#[test]
+fn a_few_senders_ask_nobody() {
+    let mut rig = Rig::new(Settings { senders: 3, stewards: true, ..settings() });
+    rig.list(ListForm::All, vec![entry(1, 1, 8.0)]);
+    let first = rig.arrive(1, SAFE, 1);
+    assert_eq!((sent(&first), wanted(&first)), (vec![1], vec![]));
+}
