--- a/crates/permits/src/steward.rs
+++ b/crates/permits/src/steward.rs
@@ -104,8 +104,13 @@
 }
 
 impl Limit {
+    /// What the destination takes from all relays when it is warm.
+    fn full_rate(&self) -> Option<f64> {
+        self.reported.or(self.listed)
+    }
+
     fn rate(&self, now: Micros, cold: Cold) -> Option<f64> {
-        let rate = self.reported.or(self.listed)? * USED;
+        let rate = self.full_rate()? * USED;
         let share = self.back.map_or(1.0, |back| {
             let warmed = (now - back) as f64 / cold.warm_after.max(1) as f64;
             (SPARE * (cold.from + (1.0 - cold.from) * warmed)).min(1.0)
@@ -116,7 +121,7 @@
     fn interval(&self, now: Micros, cold: Cold) -> Option<Micros> {
         let rate = self.rate(now, cold)?;
         let paced = (SECOND as f64 / rate.max(0.01)) as Micros;
-        let full = self.reported.or(self.listed).unwrap_or(1.0);
+        let full = self.full_rate().unwrap_or(1.0);
         let silent = self.calls.len() >= LEAST_OUT.max((full * OUT_FOR) as usize);
         Some(if self.out || silent { paced.max(TRIAL) } else { paced }.max(1))
     }
@@ -192,7 +197,7 @@
         }
     }
 
-    /// A relay says what waits there. `false` where the destination is not known: it is not answered then.
+    /// A relay says what waits there. `None` where the destination is not known: it is not answered then.
     pub fn want(
         &mut self, now: Micros, (from, incarnation): (Peer, u32), destination: i64, seen: u16, tiers: Tiers,
     ) -> Option<Grant> {
--- a/src/draw.rs
+++ b/src/draw.rs
@@ -25,7 +25,7 @@
     (mixed ^ (mixed >> 32)).wrapping_mul(MIX)
 }
 
-/// A span stretched by up to half of itself, either way, by a salt.
-pub fn stretched(span: Micros, senders: u32, salt: u64) -> Micros {
-    ((1.0 + jitter(senders, salt)) * span as f64) as Micros
+/// A span stretched by a jitter, which is a part of it.
+pub fn stretched(span: Micros, jitter: f64) -> Micros {
+    ((1.0 + jitter) * span as f64) as Micros
 }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -11,7 +11,7 @@
 use tokio_util::codec::Framed;
 
 use super::http::{Codec, Message, Start};
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 use crate::draw;
 use crate::exchange::{Clock, Input, Member, Notice};
@@ -45,7 +45,7 @@
     }
 
     /// Before the first call: relays of one release start together.
-    pub fn start(&mut self) -> Micros {
+    pub fn start(&self) -> Micros {
         let part = draw::unit(self.seed);
         (part * (f64::from(self.relays.saturating_sub(1)) * PAUSE as f64)) as Micros
     }
@@ -156,7 +156,7 @@
                 continue;
             }
         };
-        tracing::debug!(path, got = ?answer.as_ref().map(|a| (a.start.clone(), a.body.len())), "list asked");
+        debug!(path, got = ?answer.as_ref().map(|a| (a.start.clone(), a.body.len())), "list asked");
         let answer = answer.filter(|answer| answer.start == Start::Response(200));
         let read = answer.map(|a| serde_json::from_slice::<Value>(&a.body).map_err(|e| e.to_string()));
         match read.map(|value| value.and_then(|value| told(&value))) {
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -100,7 +100,7 @@
         let interval = (from * BACK_OFF).min(first << MOST_DOUBLINGS);
         (self.interval, self.last_signal) = (Some(interval), Some(now));
         // Departure: senders refused together would come again together; each takes its own part.
-        self.next = now + wait.max(((1.0 + jitter) * interval as f64) as Micros);
+        self.next = now + wait.max(stretched(interval, jitter));
     }
 
     fn clean(&mut self, begun: Micros) {
@@ -206,12 +206,15 @@
     destinations: BTreeMap<DestinationId, Destination>,
     endpoints: BTreeMap<TargetId, Endpoint>,
     lanes: Vec<Lane>,
+    /// Destinations with messages in their queue.
     held: BTreeSet<DestinationId>,
     calls: BTreeMap<u64, Call>,
     keys: BTreeMap<Arc<str>, KeyLine>,
     /// For each kind, the running share of calls whose connection failed, as it was idle or refused.
     crowding: Vec<f64>,
+    /// Held messages by the time at which they are given up.
     expiry: BTreeSet<(Micros, MessageId)>,
+    /// Messages by the time at which they are worth less.
     fading: BTreeSet<(Micros, MessageId)>,
     timer: Option<Micros>,
     token: u64,
@@ -267,11 +270,16 @@
         }
         self.expire(now, actions);
         self.fade(now);
-        actions.extend(self.watch_at.take_if(|at| *at <= now).map(|_| Action::Watch));
+        if self.watch_at.is_some_and(|at| at <= now) {
+            self.watch_at = None;
+            actions.push(Action::Watch);
+        }
         self.ask(now, actions);
         let due = self.release(now, actions);
         self.give_up(now, actions);
-        answered.into_iter().for_each(|target| self.tidy(now, target, actions));
+        if let Some(target) = answered {
+            self.tidy(now, target, actions);
+        }
         self.reclaim(now, actions);
         self.wake(now, due, actions);
     }
@@ -280,18 +288,20 @@
 
     /// What waits beyond the permits held, where one sender's calls tell too late what all do.
     fn ask(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        if !self.settings.stewards {
+            return;
+        }
         let gap = ASK_AIMS * self.shortest_aim() / Micros::from(self.settings.senders);
         let free = (self.settings.slots as usize).saturating_sub(self.calls.len());
-        for (id, destination) in self.destinations.iter().filter(|(_, d)| self.settings.stewards && !d.apart)
-        {
+        for (id, destination) in self.destinations.iter().filter(|(_, d)| !d.apart) {
             let lane = &mut self.lanes[destination.lane];
+            if lane.rate.is_none() || lane.usual_gap(self.settings.senders) <= gap {
+                continue;
+            }
             let may = if lane.wait_until > Some(now) { 0 } else { free };
             let beyond = destination.queue.iter().take(may).skip(lane.held.count(now));
             let tiers = permits::tiers(beyond.map(|(rank, _)| rank.0.0));
-            if lane.rate.is_some()
-                && lane.usual_gap(self.settings.senders) > gap
-                && lane.held.want(now, &tiers)
-            {
+            if lane.held.want(now, &tiers) {
                 actions.push(Action::Want { destination: *id, tiers });
             }
         }
@@ -311,7 +321,8 @@
 
     fn list(&mut self, now: Micros, form: ListForm, entries: &[Entry]) {
         if form == ListForm::Refused {
-            return self.watch_at = self.settings.ask_every.map(|every| now + every / 4);
+            self.watch_at = self.settings.ask_every.map(|every| now + every / 4);
+            return;
         }
         if form == ListForm::All {
             let named: BTreeSet<TargetId> = entries.iter().map(|e| e.target).collect();
@@ -391,7 +402,9 @@
         if self.keys.len() > 2 * self.settings.max_held as usize {
             self.keys.retain(|_, key| !key.line.is_empty() || key.rest_until > now);
         }
-        key.iter().for_each(|key| self.keys.entry(key.clone()).or_default().line.push_back(arrival.id));
+        if let Some(key) = &key {
+            self.keys.entry(key.clone()).or_default().line.push_back(arrival.id);
+        }
         self.seq += 1;
         let message = Message {
             class: arrival.class,
@@ -505,11 +518,15 @@
         if message.out.is_some() {
             return;
         }
-        let after = self.settings.longest_advice.map(|most| {
-            let lane = self.destinations.get(&message.destination).map(|d| &self.lanes[d.lane]);
-            lane.map_or(0, |l| (l.ready_at(now, true) - now).min(most)).max(most / 2)
-        });
-        actions.push(if refusable { Action::Refuse { id, after } } else { Action::Fail(id) });
+        if refusable {
+            let after = self.settings.longest_advice.map(|most| {
+                let lane = self.destinations.get(&message.destination).map(|d| &self.lanes[d.lane]);
+                lane.map_or(0, |l| (l.ready_at(now, true) - now).min(most)).max(most / 2)
+            });
+            actions.push(Action::Refuse { id, after });
+        } else {
+            actions.push(Action::Fail(id));
+        }
         self.forget(id);
     }
 
@@ -571,7 +588,9 @@
             }
         }
         // Its messages share one fate, but one that was not sent at all tells nothing.
-        call.outcome = Some(outcome).filter(|outcome| *outcome != Outcome::Skipped).or(call.outcome);
+        if outcome != Outcome::Skipped {
+            call.outcome = Some(outcome);
+        }
         if call.left == 0
             && let Some(call) = self.calls.remove(&call_id)
         {
@@ -604,7 +623,7 @@
         // one of its own is waited for. Idle ones of many senders fill them, so this one lets its own go.
         let few = outcome == Outcome::Crowded;
         if few {
-            let pause = stretched(CROWDED_FOR, self.settings.senders, self.seed ^ call_id);
+            let pause = stretched(CROWDED_FOR, jitter);
             (endpoint.most, endpoint.more_at) = (Some(endpoint.out), now + pause);
         } else if outcome == Outcome::Ok {
             endpoint.most = endpoint.most.map(|most| most.max(endpoint.out + 1));
@@ -694,7 +713,7 @@
                 // Under a steward's permits its destination's return is not this sender's to bound.
                 endpoint.try_at = match lane.held.gate(now) {
                     Gate::Own => lane.trouble.as_ref().map_or(now, |trouble| trouble.turn),
-                    _ => now + ((1.0 + jitter) * (settings.rules.cold / 2) as f64) as Micros,
+                    _ => now + stretched(settings.rules.cold / 2, jitter),
                 };
             }
         }
@@ -708,7 +727,7 @@
         let (lane, settings) = (&mut self.lanes[place.lane], &self.settings);
         let jitter = jitter(settings.senders, self.seed ^ self.calls_made);
         let trial = lane.usual_gap(settings.senders).saturating_mul(SHARED_TRIAL);
-        let trial = ((1.0 + jitter) * trial.min(settings.rules.cold / 2) as f64) as Micros;
+        let trial = stretched(trial.min(settings.rules.cold / 2), jitter);
         let (last, back) = (lane.pacer.last_start, lane.trouble.as_ref().and_then(|trouble| trouble.back));
         let seen = lane.good.map(|good| good + settings.rules.cold).max(last);
         match told.word {
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -25,7 +25,7 @@
 fn asked(relays: u32, within: Micros) -> (usize, usize) {
     let mut discovery = Discovery { busy_until: 0 };
     let mut pauses: Vec<BackOff> = (0..relays).map(|n| BackOff::new(relays, u64::from(n) * 77)).collect();
-    let mut next: Vec<(Micros, usize)> = pauses.iter_mut().enumerate().map(|(n, p)| (p.start(), n)).collect();
+    let mut next: Vec<(Micros, usize)> = pauses.iter().enumerate().map(|(n, p)| (p.start(), n)).collect();
     let (mut calls, mut lists) = (0, 0);
     while let Some(i) = (0..next.len()).min_by_key(|i| next[*i]) {
         let (now, relay) = next.swap_remove(i);
