Give operators a door of their own, and let them empty a relay and fill it again

Change: src/standing.rs holds the words that both sides read; src/net/door.rs answers from a thread of its own with a descriptor in reserve; connections between requests end one after the other within 1.8 s of the order. Ruled out: that SIGTERM's way could serve (it ends the process after half a second with idle connections still open).

--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::AtomicUsize;
 
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
@@ -15,15 +15,16 @@
 use tulipfall::exchange::{Clock, Input};
 use tulipfall::interface::Micros;
 use tulipfall::net::connections::Connections;
-use tulipfall::net::discovery;
 use tulipfall::net::http::Budget;
 use tulipfall::net::inbound::{Front, Inbound, Vocabulary, serve};
 use tulipfall::net::outbound::Outbound;
+use tulipfall::net::{discovery, door};
 use tulipfall::peering;
 use tulipfall::permitting;
 use tulipfall::recording::{self, Outbox};
 use tulipfall::rules::Relay;
 use tulipfall::runtime::Runtime;
+use tulipfall::standing::{Phase, Standing};
 use tulipfall::store::Journal;
 
 use super::Failure;
@@ -83,18 +84,29 @@
     let mut hangup = signal(SignalKind::hangup())?;
     let (inputs, received) = mpsc::channel(INPUTS);
     let (notices, owed) = mpsc::unbounded_channel();
-    let (stop, stopping) = watch::channel(false);
+    let standing = Arc::new(Standing::starting(clock));
+    // Open before the replay: operators hear then that it starts.
+    if let Some(ops) = config.ops {
+        door::open(ops, standing.clone(), clock).map_err(|error| format!("ops {ops}: {error}"))?;
+    }
     let budget = Budget::new(config.limits.memory / MEMORY_READING);
     let front = |front| {
-        let (inputs, stopping) = (inputs.clone(), stopping.clone());
-        let (busy, ready) = (AtomicUsize::new(0), AtomicBool::new(false));
-        Arc::new(Inbound { clock, front, inputs, budget: budget.clone(), busy, ready, stopping })
+        let (inputs, standing) = (inputs.clone(), standing.clone());
+        Arc::new(Inbound {
+            clock,
+            front,
+            inputs,
+            budget: budget.clone(),
+            busy: AtomicUsize::new(0),
+            standing,
+        })
     };
     // Half of the descriptors for clients, an eighth for AS2 partners. Of the rest, what calls, files and the agent
     // do not need is for idle connections to endpoints.
     let (most_clients, most_partners) = (config.limits.sockets / 2, config.limits.sockets / 8);
     let partners = if config.as2.is_some() { most_partners } else { 0 };
-    let spoken_for = most_clients + partners + config.settings.slots as usize + FILES;
+    let ops = config.ops.map_or(0, |_| door::DESCRIPTORS);
+    let spoken_for = most_clients + partners + config.settings.slots as usize + FILES + ops;
     let most_idle = config.limits.sockets.saturating_sub(spoken_for);
 
     // Bound before the replay, so that clients wait for it rather than be turned away.
@@ -129,7 +141,8 @@
     let names = std::mem::take(&mut config.names);
     let most = (config.settings.max_held as usize, config.limits.memory / MEMORY_HELD);
     let last = replay.entries.iter().map(|(number, _)| *number).max().unwrap_or(0);
-    let mut runtime = Runtime::new(clock, relay, names, most, journal, caller, notices);
+    let mut runtime =
+        Runtime::new(clock, relay, names, most, journal, caller, notices).shown_by(standing.clone());
     // Held until the end, and with it the state folder.
     let mut started = None;
     if let Some((record, numbers)) = recorded {
@@ -165,7 +178,6 @@
     let mut fronts = vec![platform.clone()];
     if let Some((address, as2)) = as2 {
         let as2 = front(Front::As2(as2));
-        as2.ready.store(true, Ordering::Relaxed);
         tokio::spawn(serve(listen(address).await?, as2.clone(), most_partners));
         fronts.push(as2);
     }
@@ -175,16 +187,17 @@
             tokio::time::sleep_until(clock.instant(again)).await;
         }
     });
+    let stopping = standing.clone();
     tokio::spawn(async move {
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
         }
         info!("stopping");
-        let _ = stop.send(true);
+        stopping.enter(Phase::Stopping);
         let _ = inputs.send(Input::Stop(clock.now() + STOP_WITHIN)).await;
     });
-    platform.ready.store(true, Ordering::Relaxed);
+    standing.enter(Phase::Serving);
     info!("{} ready, {messages} messages and {pending} notices taken on again", config.name);
     let served = runtime.run(received);
     tokio::pin!(served);
--- a/src/config.rs
+++ b/src/config.rs
@@ -71,6 +71,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators ask and order; without it there is no such door.
+    pub ops: Option<SocketAddr>,
     /// The platform's agent, which tells the destination set.
     pub discovery: Option<SocketAddr>,
     /// Who is told of ends other than deliveries; without one they are recorded and logged.
@@ -193,7 +195,8 @@
         let address = |variable: &str, key: &str| {
             let found = text(variable, key)?;
             let parsed = found.map(|found| found.parse::<SocketAddr>().map_err(|_| found));
-            parsed.transpose().map_err(|found| bad(key, format!("is {found:?}, expected address:port")))
+            let at_fault = if environment(variable).is_some() { variable } else { key };
+            parsed.transpose().map_err(|found| bad(at_fault, format!("is {found:?}, expected address:port")))
         };
         let listen = address("PROXY_LISTEN", "listen")?.ok_or_else(|| bad("listen", "is missing"))?;
         let state = text("PROXY_STATE", "state")?.ok_or_else(|| bad("PROXY_STATE", "is not set"))?;
@@ -234,6 +237,7 @@
         Ok(Config {
             name: text("PROXY_NAME", "name")?.unwrap_or_else(|| "relay".into()),
             listen,
+            ops: address("PROXY_OPS", "ops")?,
             discovery,
             notices: discovery,
             record: None,
@@ -392,6 +396,15 @@
         let listen = top.address("listen")?.ok_or_else(|| top.bad("listen", "is missing"))?;
         let state = folder.join(top.text("state")?);
         let notices = top.address("notices")?;
+        let ops = match environment("PROXY_OPS") {
+            None => top.address("ops")?,
+            Some(text) => {
+                // Read all the same, so that the key is known here.
+                top.address("ops")?;
+                let why = || bad("PROXY_OPS", format!("is {text:?}, expected address:port"));
+                Some(text.parse().map_err(|_| why())?)
+            }
+        };
         let (settings, known) = operator_settings(top)?;
         let (settings, names) = read_settings(&settings)?;
         let known = Some(told(&known).map_err(|why| bad("destination", why))?);
@@ -420,6 +433,7 @@
         Ok(Config {
             name,
             listen,
+            ops,
             discovery: None,
             notices,
             record,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -89,6 +89,7 @@
 pub mod recording;
 pub mod rules;
 pub mod runtime;
+pub mod standing;
 mod state;
 pub mod store;
 pub mod wire;
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -3,13 +3,13 @@
 //! choose an endpoint, hold a message back, or end a connection on which a request waits for its answer.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use futures_util::{SinkExt, StreamExt};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio_util::codec::Framed;
 
 use tracing::warn;
@@ -17,8 +17,10 @@
 use super::http::{Budget, Codec, HttpError, MOST_BODY, Message, Start};
 use super::quiet;
 use crate::as2::{As2, MOST_MESSAGE};
+use crate::draw;
 use crate::exchange::{Answer, Clock, Exchange, Input};
 use crate::interface::Micros;
+use crate::standing::{Leaving, Standing};
 
 /// An id may have so many bytes.
 const MOST_ID: usize = 64;
@@ -36,6 +38,12 @@
 const SILENT: Micros = 100_000;
 /// ... and one whose request is not whole after this.
 const SLOW: Micros = 500_000;
+/// Where operators have the relay emptied, connections between requests are closed one after the other: the first
+/// so long after the order, the last so much later.
+const LEAVE_AFTER: Micros = 300_000;
+const LEAVE_OVER: Micros = 1_500_000;
+/// One that came since then has so long for its first request.
+const LEAVE_NEW: Micros = 1_000_000;
 /// While there is no place, it is looked for one so often.
 const LOOK_AGAIN: Micros = 10_000;
 /// An answer is written within this, or not at all.
@@ -73,10 +81,8 @@
     pub budget: Arc<Budget>,
     /// Requests that were read and not answered yet.
     pub busy: AtomicUsize,
-    /// Set once the store has been replayed.
-    pub ready: AtomicBool,
-    /// True once the process is to stop: answers then end their connections.
-    pub stopping: watch::Receiver<bool>,
+    /// What the process is at: whether it is ready, and whether connections are to end.
+    pub standing: Arc<Standing>,
 }
 
 /// What a connection is at.
@@ -226,7 +232,17 @@
         Front::Platform(_) => (MOST_BODY, WHOLE_WITHIN),
     };
     let mut framed = Framed::new(stream, Codec::server(most, inbound.budget.clone()));
-    let mut stopping = inbound.stopping.clone();
+    let mut leaving = inbound.standing.leaving();
+    let accepted = clock.now();
+    // Each has a moment of its own, so that clients do not all come to the others at once.
+    let leaves_by = |leaving: Leaving| match leaving {
+        Leaving::Since(at) => {
+            let part = draw::unit(place.number as u64 ^ at.unsigned_abs());
+            let by = at + LEAVE_AFTER + (part * LEAVE_OVER as f64) as Micros;
+            if accepted < at { by } else { by.max(accepted + LEAVE_NEW) }
+        }
+        Leaving::No | Leaving::Stop => Micros::MAX,
+    };
     // The first request is owed something within a time that counts from the connection, later ones from their
     // first byte.
     let mut first_by = Some(clock.now() + within);
@@ -234,11 +250,13 @@
     loop {
         if framed.read_buffer().is_empty() {
             let mut byte = [0];
+            let until = silent_until.min(leaves_by(*leaving.borrow_and_update()));
             let comes = tokio::select! {
                 biased;
                 peeked = framed.get_ref().peek(&mut byte) => matches!(peeked, Ok(1..)),
                 () = place.wanted() => !quiet(framed.get_ref()),
-                () = tokio::time::sleep_until(clock.instant(silent_until)) => !quiet(framed.get_ref()),
+                Ok(()) = leaving.changed() => continue,
+                () = tokio::time::sleep_until(clock.instant(until)) => !quiet(framed.get_ref()),
             };
             if !comes {
                 return;
@@ -277,7 +295,7 @@
                 (answer, taken)
             }
         };
-        answer.keep_alive &= !*stopping.borrow_and_update();
+        answer.keep_alive &= *leaving.borrow_and_update() == Leaving::No;
         let until = clock.instant(clock.now() + ANSWER_WITHIN);
         let sent = tokio::time::timeout_at(until, framed.send(&answer)).await;
         inbound.busy.fetch_sub(1, Ordering::Relaxed);
@@ -341,10 +359,8 @@
     let path = path.split('?').next().unwrap_or_default();
     match (method.as_str(), path) {
         ("GET", "/health/live") => (Message::response(200, "live"), None),
-        ("GET", "/health/ready") if inbound.ready.load(Ordering::Relaxed) => {
-            (Message::response(200, "ready"), None)
-        }
-        ("GET", "/health/ready") => (Message::response(503, "replaying"), None),
+        ("GET", "/health/ready") if inbound.standing.relay_ready() => (Message::response(200, "ready"), None),
+        ("GET", "/health/ready") => (Message::response(503, inbound.standing.word()), None),
         ("POST", _) => match &inbound.front {
             Front::Platform(names) => match read(&request, path, inbound.clock.now(), names) {
                 Err((status, why)) => (Message::response(status, why), None),
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod connections;
 pub mod discovery;
+pub mod door;
 pub mod http;
 pub mod inbound;
 pub mod outbound;
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -16,6 +16,7 @@
 use crate::permitting::{self, ToStewards};
 use crate::recording::{Outbox, heard};
 use crate::rules::Relay;
+use crate::standing::Standing;
 use crate::store::{Begun, Journal, Record, Replay, StoreError, Stored};
 use crate::wire::Names;
 
@@ -97,6 +98,9 @@
     stewards: Option<mpsc::UnboundedSender<ToStewards>>,
     caller: Box<dyn Caller>,
     notices: mpsc::UnboundedSender<Notice>,
+    standing: Arc<Standing>,
+    /// Calls that have not ended.
+    out: usize,
     ids: HashMap<String, MessageId>,
     held: HashMap<MessageId, Held>,
     met: u64,
@@ -133,6 +137,8 @@
             stewards: None,
             caller,
             notices,
+            standing: Arc::new(Standing::starting(clock)),
+            out: 0,
             ids: HashMap::new(),
             held: HashMap::new(),
             met: 0,
@@ -148,6 +154,13 @@
         }
     }
 
+    /// Shows how much is held where operators and fronts look.
+    #[must_use]
+    pub fn shown_by(mut self, standing: Arc<Standing>) -> Self {
+        self.standing = standing;
+        self
+    }
+
     /// Has the ends of messages recorded.
     #[must_use]
     pub fn recorded_by(mut self, outbox: Outbox) -> Self {
@@ -384,6 +397,7 @@
     }
 
     fn ended(&mut self, end: CallEnd) {
+        self.out = self.out.saturating_sub(1);
         let now = self.clock.now();
         let Some(id) = self.ids.get(&end.id).copied() else {
             // Its message is over; that it took effect all the same is worth knowing.
@@ -591,6 +605,7 @@
                 // A client that has gone is told of by its front.
                 Effect::Answer(reply, answer) => drop(reply.send(answer)),
                 Effect::Call(id, call) => {
+                    self.out += 1;
                     let handle = self.caller.call(call);
                     if let Some(held) = self.held.get_mut(&id) {
                         held.call = Some(handle);
@@ -611,6 +626,7 @@
                 }
             }
         }
+        self.standing.count(self.held.len(), self.out);
         Ok(())
     }
 }
--- /dev/null
+++ b/tests/operations.rs
@@ -0,0 +1,202 @@
+//! What operators do with a running relay: its door, and a drain, over sockets with the real program. Nothing sleeps:
+//! a step waits for an answer, a line of the log, or the end of a connection.
+
+mod stand;
+
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use stand::*;
+
+/// A door's answer is due within this.
+const DUE: Duration = Duration::from_secs(1);
+
+/// A platform's configuration with one endpoint of destination 0, and a door.
+fn configuration(endpoint: &str) -> Value {
+    let class = |name: &str, effect: &str| {
+        json!({"Name": name, "Idempotency": effect, "AimUs": 2_000_000, "DeadlineUs": 16_000_000,
+            "Value": 1.0, "LateWorth": 0.3})
+    };
+    json!({
+        "name": "n0", "seed": "8c1f30d27a5be964", "listen": "127.0.0.1:0", "ops": "127.0.0.1:0",
+        "limits": {"sockets": 256, "disk_mb": 3},
+        "known": {"revision": 41, "complete": true, "members": [
+            {"id": "s-0", "locality": "a", "flavor": "house", "cell": 0, "host_port": endpoint,
+                "phase": "Ready", "size": 4.0, "up_since_ms": 0}]},
+        "settings": {
+            "Classes": [class("status-update", "idempotent"), class("paid-extra", "at_most_once")],
+            "Tenants": [{"Name": "desk", "QuotaPerS": 9.0}],
+            "HostTypes": ["house"], "Zones": ["a"], "Weights": "nominal", "PeersTotal": 1,
+            "Domain": {"MaxCalls": 8, "Late": "by_half"},
+            "Limits": {"OpenCap": 200, "MaxAttempts": 12, "ConnectTimeoutUs": 1_000_000,
+                "ConnIdleUs": 15_000_000, "Cancel": true},
+            "Rules": {"ColdFrom": 0.16, "ColdUs": 10_000_000, "FallMultiple": 2.0,
+                "OverloadForUs": 2_000_000, "StopSendingWithinUs": 1_000_000}
+        }
+    })
+}
+
+fn start(folder: &Path, configuration: &Value) -> Program {
+    let file = folder.join("config.json");
+    std::fs::write(&file, configuration.to_string()).expect("a file");
+    let (file, state) = (file.display().to_string(), folder.join("state").display().to_string());
+    Program::start(&[], &[("PROXY_CONFIG", &file), ("PROXY_STATE", &state)], 1)
+}
+
+/// One call at the door: the status and the body, within the time that is due.
+fn order(door: &str, method: &str, path: &str) -> (u16, Value) {
+    let began = Instant::now();
+    let mut stream = connect(door);
+    let call = format!("{method} {path} HTTP/1.1\r\nHost: relay\r\nContent-Length: 0\r\n\r\n");
+    let heard = ask(&mut stream, call.as_bytes()).expect("an answer");
+    assert!(began.elapsed() < DUE, "{method} {path} took {:?}", began.elapsed());
+    assert_eq!(heard.header("Connection"), Some("close"));
+    (heard.status(), serde_json::from_slice(&heard.body).unwrap_or_default())
+}
+
+fn ready(listen: &str) -> u16 {
+    let call = b"GET /health/ready HTTP/1.1\r\nHost: relay\r\n\r\n";
+    ask(&mut connect(listen), call).expect("an answer").status()
+}
+
+/// Waits until the other side ends the connection; what it still says.
+fn rest(mut stream: TcpStream) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).expect("an end that is no reset");
+    bytes
+}
+
+#[test]
+fn the_door_answers_in_time_beside_half_calls_and_a_flood_of_clients() {
+    let endpoint = TcpListener::bind("127.0.0.1:0").expect("a socket");
+    let at = endpoint.local_addr().expect("an address").to_string();
+    let program = start(&folder("ops-door"), &configuration(&at));
+    // Half calls that would keep every place, and more of them than there are places.
+    let mut half: Vec<TcpStream> = (0..100).map(|_| connect(&program.door)).collect();
+    for stream in &mut half {
+        let _ = stream.write_all(b"GET /status HTTP/1.1\r\nHo");
+    }
+    // Clients that hold every place of theirs, and one that never stops handing in.
+    let silent: Vec<TcpStream> = (0..120).map(|_| connect(&program.addresses[0])).collect();
+    let listen = program.addresses[0].clone();
+    let (stop, stopped) = std::sync::mpsc::channel::<()>();
+    let flood = std::thread::spawn(move || {
+        for n in 0.. {
+            if stopped.try_recv().is_ok() {
+                return n;
+            }
+            let Ok(mut stream) = TcpStream::connect(&listen) else { continue };
+            let _ = stream.write_all(&handed_in("status-update", &format!("f{n}"), 0, 900, b"x"));
+        }
+        0
+    });
+    for _ in 0..20 {
+        let (status, body) = order(&program.door, "GET", "/status");
+        assert_eq!((status, &body["state"], &body["ready"]), (200, &json!("active"), &json!(true)));
+        assert!(body["held"].is_u64() && body["out"].is_u64() && body["since"].is_f64(), "{body}");
+    }
+    assert_eq!(order(&program.door, "POST", "/standby").0, 200);
+    assert_eq!(order(&program.door, "GET", "/status").0, 503);
+    assert_eq!(order(&program.door, "POST", "/active").0, 200);
+    assert_eq!(order(&program.door, "DELETE", "/status").0, 405);
+    assert_eq!(order(&program.door, "GET", "/elsewhere").0, 404);
+    stop.send(()).expect("the flood runs");
+    assert!(flood.join().expect("the flood ends") > 0);
+    drop((half, silent));
+    // What cannot be read, and what is too large, gets an answer too.
+    let answer = |bytes: &[u8]| ask(&mut connect(&program.door), bytes).expect("an answer").status();
+    assert_eq!(answer(b"noise\r\n\r\n"), 400);
+    assert_eq!(answer(b"POST /standby HTTP/1.1\r\nContent-Length: 99999\r\n\r\n"), 413);
+}
+
+#[test]
+fn a_drain_ends_every_kept_connection_with_each_request_answered_and_can_be_undone() {
+    let endpoint = TcpListener::bind("127.0.0.1:0").expect("a socket");
+    let at = endpoint.local_addr().expect("an address").to_string();
+    let program = start(&folder("ops-drain"), &configuration(&at));
+    let listen = program.addresses[0].clone();
+    let hand = |id: &str| handed_in("status-update", id, 0, 9000, b"body");
+    let mut used = connect(&listen);
+    assert_eq!(ask(&mut used, &hand("m1")).expect("an answer").status(), 202);
+    let untouched = connect(&listen);
+    let mut half = connect(&listen);
+    let bytes = hand("m2");
+    half.write_all(&bytes[..bytes.len() - 3]).expect("written");
+    let idle: Vec<TcpStream> = (0..40)
+        .map(|n| {
+            let mut stream = connect(&listen);
+            assert_eq!(ask(&mut stream, &hand(&format!("i{n}"))).expect("an answer").status(), 202);
+            stream
+        })
+        .collect();
+    assert_eq!(ready(&listen), 200);
+    let began = Instant::now();
+    assert_eq!(order(&program.door, "POST", "/standby").0, 200);
+    assert_eq!(ready(&listen), 503);
+    let idle: Vec<_> =
+        idle.into_iter().map(|stream| std::thread::spawn(move || (rest(stream), began.elapsed()))).collect();
+    // What still comes on kept connections is served, and ends them.
+    let heard = ask(&mut used, &hand("m3")).expect("an answer");
+    assert_eq!((heard.status(), heard.header("Connection")), (202, Some("close")));
+    assert_eq!(rest(used), b"");
+    half.write_all(&bytes[bytes.len() - 3..]).expect("written");
+    let heard = hear(&mut half).expect("an answer");
+    assert_eq!((heard.status(), heard.header("Connection")), (202, Some("close")));
+    // New ones are served too.
+    let mut new = connect(&listen);
+    assert_eq!(ask(&mut new, &hand("m4")).expect("an answer").status(), 202);
+    assert_eq!(rest(new), b"");
+    assert_eq!(rest(untouched), b"");
+    let mut ends: Vec<Duration> = idle
+        .into_iter()
+        .map(|end| {
+            let (rest, at) = end.join().expect("an end");
+            assert_eq!(rest, b"");
+            at
+        })
+        .collect();
+    ends.sort();
+    assert!(ends[39] < Duration::from_millis(3500), "all are gone in time: {:?}", ends[39]);
+    assert!(ends[39] - ends[0] > Duration::from_millis(500), "spread out: {:?} to {:?}", ends[0], ends[39]);
+    // What was taken on is held and delivered as ever.
+    let mut call = accept(&endpoint);
+    assert!(hear(&mut call).expect("a call").head.starts_with("POST /v1/messages"));
+    let (status, body) = order(&program.door, "GET", "/status");
+    assert_eq!((status, &body["state"]), (503, &json!("standby")));
+    assert!(body["held"].as_u64() > Some(0));
+    // Undone: ready at once, and connections are kept again.
+    assert_eq!(order(&program.door, "POST", "/active").0, 200);
+    assert_eq!(ready(&listen), 200);
+    let mut kept = connect(&listen);
+    for id in ["m5", "m6"] {
+        let heard = ask(&mut kept, &hand(id)).expect("an answer");
+        assert_eq!((heard.status(), heard.header("Connection")), (202, None));
+    }
+}
+
+#[test]
+fn a_relay_that_is_told_to_end_in_standby_ends_well() {
+    let endpoint = TcpListener::bind("127.0.0.1:0").expect("a socket");
+    let at = endpoint.local_addr().expect("an address").to_string();
+    let mut program = start(&folder("ops-standby-term"), &configuration(&at));
+    assert_eq!(order(&program.door, "POST", "/standby").0, 200);
+    program.terminate();
+    assert_eq!(order(&program.door, "POST", "/active").0, 409, "it goes on ending");
+    assert!(program.ended_well());
+}
+
+#[test]
+fn a_door_whose_address_is_malformed_is_named_at_the_start() {
+    let file = folder("ops-malformed").join("config.json");
+    std::fs::write(&file, configuration("127.0.0.1:9").to_string()).expect("a file");
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_tulipfall"))
+        .envs([("PROXY_CONFIG", file.display().to_string()), ("PROXY_STATE", "unused".into())])
+        .env("PROXY_OPS", "9600")
+        .output()
+        .expect("the program runs");
+    let said = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert!(!output.status.success() && said.contains("PROXY_OPS: is \"9600\""), "{said}");
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -25,6 +25,8 @@
     log: std::sync::mpsc::Receiver<String>,
     /// What it listens on, in the order opened.
     pub addresses: Vec<String>,
+    /// The operators' door, where it has one.
+    pub door: String,
 }
 
 impl Program {
@@ -33,19 +35,22 @@
         let mut command = Command::new(env!("CARGO_BIN_EXE_tulipfall"));
         let child = command.args(arguments).envs(environment.iter().copied()).stderr(Stdio::piped()).spawn();
         let mut child = child.expect("the program starts");
-        let (mut addresses, mut ready) = (vec![], false);
+        let (mut addresses, mut door, mut ready) = (vec![], String::new(), false);
         let mut lines = BufReader::new(child.stderr.take().expect("its log")).lines();
         while addresses.len() < sockets || !ready {
             let line = lines.next().expect("the program is still there").expect("a line");
             if let Some((_, address)) = line.split_once("listening on ") {
                 addresses.push(address.to_string());
             }
+            if let Some((_, address)) = line.split_once("operators' door on ") {
+                door = address.to_string();
+            }
             ready |= line.contains(" ready, ");
         }
         // Its log is read on, so that it never waits for a reader.
         let (line, log) = std::sync::mpsc::channel();
         std::thread::spawn(move || lines.map_while(Result::ok).for_each(|text| drop(line.send(text))));
-        Program { child, log, addresses }
+        Program { child, log, addresses, door }
     }
 
     /// SIGKILL.
