Ask discovery within half the grace of a drain, however large the fleet

Cause: the first call of a relay was spread over 20 ms times the fleet, 5.98 s among 300. What drains meanwhile counts as told to one that has not asked, and was called after the grace of 1 s. The line: BackOff::start in src/net/discovery.rs. Ruled out: restarts (none before the first breach), and the module, which sends nothing to what it was told drains. Change: the spread is at most half the grace that the settings give.

--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -189,7 +189,8 @@
         let (tell, task) = started.map_err(|error| format!("peer_listen: {error}"))?;
         (runtime, stewards) = (runtime.permitted_by(tell), Some(task));
     }
-    let mut back_off = discovery::BackOff::new(config.settings.senders, config.seed);
+    let mut back_off =
+        discovery::BackOff::new(config.settings.senders, config.seed, config.settings.rules.drain_grace);
     let mut kept = None;
     match told {
         None => runtime.resume(known.map(|known| known.members).unwrap_or_default(), said, replay)?,
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -36,14 +36,16 @@
 pub struct BackOff {
     seed: u64,
     relays: u32,
+    grace: Micros,
     failures: u32,
     goes_on: bool,
 }
 
 impl BackOff {
-    /// The pauses of one of so many relays; the seed tells it from others.
-    pub fn new(relays: u32, seed: u64) -> Self {
-        BackOff { seed, relays, failures: 0, goes_on: false }
+    /// The pauses of one of so many relays; the seed tells it from others. Sends to an endpoint have to cease within the
+    /// grace of the news that it drains, which counts as told while a relay has not asked.
+    pub fn new(relays: u32, seed: u64, grace: Micros) -> Self {
+        BackOff { seed, relays, grace, failures: 0, goes_on: false }
     }
 
     /// The pauses of one that goes on where another process was watching: the first call comes at once.
@@ -53,10 +55,12 @@
         self
     }
 
-    /// Before the first call: relays of one release start together.
+    /// Before the first call: relays of one release start together. Not for longer than half the grace, however many
+    /// they are: what drains meanwhile would be called after it.
     pub fn start(&self) -> Micros {
         let part = if self.goes_on { 0.0 } else { draw::unit(self.seed) };
-        (part * (f64::from(self.relays.saturating_sub(1)) * PAUSE as f64)) as Micros
+        let spread = Micros::from(self.relays.saturating_sub(1)) * PAUSE;
+        (part * spread.min(self.grace / 2) as f64) as Micros
     }
 
     /// A call was answered.
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -24,7 +24,7 @@
 /// All relays of a fleet ask until they are answered: how many calls that took in `within`, and how many have a list.
 fn asked(relays: u32, within: Micros) -> (usize, usize) {
     let mut discovery = Discovery { busy_until: 0 };
-    let mut pauses: Vec<BackOff> = (0..relays).map(|n| BackOff::new(relays, u64::from(n) * 77)).collect();
+    let mut pauses: Vec<BackOff> = (0..relays).map(|n| BackOff::new(relays, u64::from(n) * 77, S)).collect();
     let mut next: Vec<(Micros, usize)> = pauses.iter().enumerate().map(|(n, p)| (p.start(), n)).collect();
     let (mut calls, mut lists) = (0, 0);
     while let Some(i) = (0..next.len()).min_by_key(|i| next[*i]) {
@@ -51,7 +51,7 @@
 #[test]
 fn a_few_relays_ask_again_as_soon_as_before() {
     for seed in 0..50 {
-        let mut pauses = BackOff::new(2, seed);
+        let mut pauses = BackOff::new(2, seed, S);
         assert!(pauses.start() <= 20 * MS);
         assert!((20 * MS..=60 * MS).contains(&pauses.failed()));
         let longest = (0..20).map(|_| pauses.failed()).max();
@@ -60,3 +60,11 @@
         assert!(pauses.failed() <= 60 * MS, "an answer starts anew");
     }
 }
+
+#[test]
+fn however_many_relays_there_are_each_asks_well_within_the_grace_of_a_drain() {
+    for relays in [2, 100, 300, 10_000] {
+        let latest = (0..1000).map(|seed| BackOff::new(relays, seed * 77, S).start()).max();
+        assert!(latest <= Some(S / 2), "{relays} relays: the last asks after {latest:?} us");
+    }
+}
