Take on new classes, terms and attempts at SIGHUP, whole or not at all

Cause: settings were read once; at SIGHUP only addresses were taken, and from a file that lacked discovery its loss was taken. Ruled out: terms by name (a charge would run twice after a reload that makes its class repeatable). Measured: tests/operations.rs, over 200 broken files that change nothing and a sound one that does; classes that change under calls that are out, through a kill and a restart.

--- a/src/as2.rs
+++ b/src/as2.rs
@@ -70,10 +70,10 @@
 /// What becomes of the messages that a partner hands in.
 #[derive(Clone, Debug, PartialEq)]
 pub struct HandsIn {
-    /// Index of their class.
-    pub class: usize,
-    /// Index of their tenant.
-    pub tenant: Option<usize>,
+    /// Their class.
+    pub class: String,
+    /// Their tenant.
+    pub tenant: Option<String>,
     /// Their destination.
     pub destination: i64,
     /// They may be delivered for so long.
@@ -546,8 +546,8 @@
         let receipt = Receipt { key, at: now, until, bytes };
         let exchange = Exchange {
             id: format!("as2-{}", boundary(&partner.name, id.as_bytes())?),
-            class: hands_in.class,
-            tenant: hands_in.tenant,
+            class: hands_in.class.clone(),
+            tenant: hands_in.tenant.clone(),
             due: now + hands_in.deadline,
             destination: hands_in.destination,
             body: body.into(),
@@ -565,6 +565,7 @@
         Ok(match answer.await {
             Ok(Answer::Taken | Answer::TakenBefore) => Ok(receipt),
             Ok(Answer::Refused(why, after)) => Err(refusal(&why, after)),
+            Ok(Answer::Unknown) => Err(Message::response(500, "its class is no more")),
             Ok(Answer::Failed(why)) => Err(Message::response(500, why.into_owned())),
             Err(_) => Err(refusal("stopped", None)),
         })
--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -15,7 +15,7 @@
 
 use tulipfall::as2::As2;
 use tulipfall::config::{Config, ConfigError};
-use tulipfall::exchange::{Clock, Input};
+use tulipfall::exchange::{Clock, Input, Retuned};
 use tulipfall::handover::link::{self, Link, Word};
 use tulipfall::handover::new::{Taken, keep, take_over};
 use tulipfall::handover::old::{finish, offer};
@@ -60,27 +60,45 @@
     [config.discovery, config.notices].map(|address| address.map(|address| address.to_string().into()))
 }
 
-/// Takes on what a new configuration changes; one that cannot be used leaves all as it is.
-fn reload(
-    start: &Config, new: Result<Config, ConfigError>, to: [&watch::Sender<Option<Arc<str>>>; 2],
-    relays: &watch::Sender<Vec<SocketAddr>>,
-) {
-    let new = match new {
-        Ok(new) => new,
-        Err(error) => {
-            return warn!("the configuration cannot be used, the old one stays: {error}");
+/// What a reload reaches, and what it was read against.
+struct Reload {
+    /// The file as it counted at the start, for what only a start takes on.
+    start: Config,
+    /// What was last taken on of its settings.
+    last: Option<Retuned>,
+    to: [watch::Sender<Option<Arc<str>>>; 2],
+    relays: watch::Sender<Vec<SocketAddr>>,
+    inputs: mpsc::Sender<Input>,
+}
+
+impl Reload {
+    /// Takes on what a new configuration changes, whole; one that cannot be used leaves all as it is.
+    fn take(&mut self, new: Result<Config, ConfigError>) {
+        let new = match new.and_then(|new| new.whole_beside(&self.start).map(|()| new)) {
+            Ok(new) => new,
+            Err(error) => {
+                return warn!("the configuration cannot be used, the old one stays: {error}");
+            }
+        };
+        // First what new messages and attempts go by, then where news comes from.
+        let retuned = new.retuned(&self.start);
+        if self.last.as_ref().unwrap_or(&self.start.retuned(&self.start)) != &retuned {
+            // Inputs wait for the runtime, which this task drives too.
+            let (inputs, retuned) = (self.inputs.clone(), Box::new(retuned.clone()));
+            tokio::spawn(async move { inputs.send(Input::Retuned(retuned)).await });
         }
-    };
-    for (address, to) in addresses(&new).into_iter().zip(to) {
-        to.send_if_modified(|old| std::mem::replace(old, address.clone()) != address);
-    }
-    if let Some(peers) = &new.peers {
-        relays.send_if_modified(|old| std::mem::replace(old, peers.all.clone()) != peers.all);
+        self.last = Some(retuned);
+        for (address, to) in addresses(&new).into_iter().zip(&self.to) {
+            to.send_if_modified(|old| std::mem::replace(old, address.clone()) != address);
+        }
+        if let Some(peers) = &new.peers {
+            self.relays.send_if_modified(|old| std::mem::replace(old, peers.all.clone()) != peers.all);
+        }
+        let left = self.start.need_a_start(&new);
+        let left =
+            if left.is_empty() { String::new() } else { format!("; needs a restart: {}", left.join(", ")) };
+        info!("configuration read again{left}");
     }
-    let left = start.need_a_start(&new);
-    let left =
-        if left.is_empty() { String::new() } else { format!("; needs a restart: {}", left.join(", ")) };
-    info!("configuration read again{left}");
 }
 
 async fn run(mut config: Config, load: impl Fn(bool) -> Result<Config, ConfigError>) -> Result<(), Failure> {
@@ -112,7 +130,8 @@
 
     let vocabulary =
         Vocabulary { classes: config.names.classes().to_vec(), tenants: config.names.tenants().to_vec() };
-    let platform = front(Front::Platform(vocabulary));
+    let (naming, named) = watch::channel(vocabulary);
+    let platform = front(Front::Platform(named));
     let mut serving = None;
     let mut inherited = config.accept.as_deref().map(|fd| adopt(fd, config.listen)).transpose()?;
     // Bound before the replay, so that clients wait for it rather than be turned away. One that is inherited may be
@@ -155,7 +174,7 @@
     let caller = Box::new(Outbound::new(clock, inputs.clone(), connections.clone(), partners));
     let (messages, pending) = (replay.messages.len(), replay.notices.len());
     let relay = Relay::new(config.settings.clone(), config.seed)?;
-    let names = std::mem::take(&mut config.names);
+    let names = config.names.clone();
     let most = (config.settings.max_held as usize, config.limits.memory / MEMORY_HELD);
     let last = replay.entries.iter().map(|(number, _)| *number).max().unwrap_or(0);
     let known = config.known.take();
@@ -164,6 +183,7 @@
     let revision = Arc::new(AtomicI64::new(revision));
     let mut runtime = Runtime::new(clock, relay, names, most, journal, caller, notices)
         .shown_by(standing.clone())
+        .naming(naming)
         .at_revision(revision.clone());
     let mut started = None;
     if let Some((record, numbers)) = recorded {
@@ -242,24 +262,26 @@
             tokio::time::sleep_until(clock.instant(again)).await;
         }
     });
+    let again = inputs.clone();
     let stopping = standing.clone();
     tokio::spawn(async move {
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
         }
-        info!("stopping");
         stopping.enter(Phase::Stopping);
+        info!("stopping");
         let _ = inputs.send(Input::Stop(clock.now() + STOP_WITHIN)).await;
     });
     standing.enter(Phase::Serving);
     info!("{} ready, {messages} messages and {pending} notices taken on again", config.name);
+    let mut reloads = Reload { last: None, start: config, to: [ask, tell], relays, inputs: again };
     let served = runtime.run(received);
     tokio::pin!(served);
     let end = loop {
         tokio::select! {
             end = &mut served => break end?,
-            Some(()) = hangup.recv() => reload(&config, load(true), [&ask, &tell], &relays),
+            Some(()) = hangup.recv() => reloads.take(load(true)),
         }
     };
     if let End::HandedOver(left, inputs) = end {
--- a/src/config.rs
+++ b/src/config.rs
@@ -15,6 +15,7 @@
 use record::sql::{Server, Target, Tls};
 
 use crate::as2::{HandsIn, Identity, Partner};
+use crate::exchange::Retuned;
 use crate::interface::{Micros, Settings};
 use crate::net::discovery::{Told, told};
 use crate::peering::Peering;
@@ -104,7 +105,28 @@
 }
 
 /// Keys of the file that a running process takes on, or that count at a start alone.
-const TAKEN_ON: [&str; 4] = ["discovery", "notices", "known", "seed"];
+const TAKEN_ON: [&str; 6] = ["discovery", "notices", "known", "seed", "class", "tenant"];
+/// And within these tables; `config.rs` and the module agree on what that is in [`Config::retuned`].
+const RETUNED: [(&str, &[&str]); 2] = [
+    (
+        "settings",
+        &[
+            "Classes",
+            "Tenants",
+            "OverShareWorth",
+            "Rules",
+            "Domain.Late",
+            "Limits.OpenCap",
+            "Limits.MaxAttempts",
+            "Limits.Cancel",
+            "Limits.RetryAfter",
+            "Limits.MaxRetryAfterUs",
+        ],
+    ),
+    ("relay", &["messages_held", "attempts", "retry_after_ms"]),
+];
+/// Keys that a file which is read again may do without.
+const MAY_GO: [&str; 2] = ["known", "seed"];
 
 /// Sockets where no limit is told.
 const SOCKETS: u64 = 1024;
@@ -146,6 +168,38 @@
         self.limits.disk / SNAPSHOT_PART
     }
 
+    /// What a running process takes on of these settings, which was started with others: all but what its connections,
+    /// its peers and the destination set were built on.
+    pub fn retuned(&self, start: &Config) -> Retuned {
+        let Settings { kinds, senders, connect_timeout, connection_idle, probes, .. } =
+            start.settings.clone();
+        let Settings { listed_rates, stewards, ask_every, zone_fee, slots, .. } = start.settings.clone();
+        let settings = Settings {
+            kinds,
+            senders,
+            connect_timeout,
+            connection_idle,
+            probes,
+            listed_rates,
+            stewards,
+            ask_every,
+            zone_fee,
+            // Descriptors were shared out by them at the start: fewer may be used, more may not.
+            slots: self.settings.slots.min(slots),
+            ..self.settings.clone()
+        };
+        Retuned { settings, classes: self.names.classes().to_vec(), tenants: self.names.tenants().to_vec() }
+    }
+
+    /// Whether this file, read while a process runs, is as whole as the one it was started with: a key that is missing
+    /// now, or is of another type, is what an interrupted edit leaves, also where a start would do without it.
+    ///
+    /// # Errors
+    /// The first such key.
+    pub fn whole_beside(&self, start: &Config) -> Result<(), ConfigError> {
+        whole(&start.source, &self.source, "")
+    }
+
     /// The keys in which `new` differs and which count only from the next start on.
     pub fn need_a_start(&self, new: &Config) -> Vec<String> {
         let keys = |config: &Config| {
@@ -160,6 +214,20 @@
     /// What stands under a key, but for what a reload takes on of it: the addresses of the other relays.
     fn needing(&self, key: &str) -> Option<Value> {
         let mut part = self.source.get(key).cloned();
+        if let Some(Value::Object(fields)) = &mut part
+            && let Some((_, taken)) = RETUNED.iter().find(|(table, _)| *table == key)
+        {
+            for path in *taken {
+                match path.split_once('.') {
+                    None => drop(fields.remove(*path)),
+                    Some((table, key)) => {
+                        if let Some(Value::Object(fields)) = fields.get_mut(table) {
+                            fields.remove(key);
+                        }
+                    }
+                }
+            }
+        }
         match (key, &mut part) {
             ("peers", Some(Value::Object(fields))) => drop(fields.remove("all")),
             ("peers", Some(Value::Array(_))) => part = None,
@@ -258,11 +326,47 @@
     }
 }
 
+/// Whether `new` has every key that `old` had, of the same type. The entries of a list of tables have what all of the
+/// old ones had.
+fn whole(old: &Value, new: &Value, path: &str) -> Result<(), ConfigError> {
+    let under = |key: &str| if path.is_empty() { key.to_string() } else { format!("{path}.{key}") };
+    match (old, new) {
+        (Value::Object(old), Value::Object(new)) => old
+            .iter()
+            .filter(|(key, _)| !(path.is_empty() && MAY_GO.contains(&key.as_str())))
+            .try_for_each(|(key, old)| match new.get(key) {
+                Some(new) => whole(old, new, &under(key)),
+                None => Err(bad(&under(key), "is missing, and was there at the start")),
+            }),
+        (Value::Array(old), Value::Array(new)) if old.iter().any(Value::is_object) => {
+            if new.is_empty() {
+                return Err(bad(path, "is empty, and was not at the start"));
+            }
+            let mut tables = old.iter().filter_map(Value::as_object);
+            let mut common = tables.next().cloned().unwrap_or_default();
+            tables.for_each(|table| common.retain(|key, _| table.contains_key(key)));
+            let common = Value::Object(common);
+            new.iter().enumerate().try_for_each(|(i, new)| whole(&common, new, &under(&i.to_string())))
+        }
+        (Value::Null, _) => Ok(()),
+        (old, new) if std::mem::discriminant(old) == std::mem::discriminant(new) => Ok(()),
+        (old, new) => Err(bad(path, format!("is {new}, and was {old} at the start"))),
+    }
+}
+
 fn read_settings(settings: &Value) -> Result<(Settings, Names), ConfigError> {
     let mut pairs = Vec::new();
     flatten(settings, String::new(), &mut pairs);
     let (settings, names) = wire::settings(&pairs.join(" ")).map_err(|e| bad("settings", e.to_string()))?;
     settings.check().map_err(|error| bad("settings", error.to_string()))?;
+    let twice = |names: &[String]| {
+        names.iter().enumerate().find(|(i, n)| names[..*i].contains(n)).map(|(_, n)| n.clone())
+    };
+    for (what, names) in [("class", names.classes()), ("tenant", names.tenants())] {
+        if let Some(name) = twice(names) {
+            return Err(bad("settings", format!("{what} {name:?} is there twice")));
+        }
+    }
     Ok((settings, names))
 }
 
@@ -699,15 +803,16 @@
     for partner in table.tables("partner")? {
         let hands_in = partner.table("hands_in")?.map(|hands_in| {
             let class = hands_in.text("class")?;
-            let class =
+            let number =
                 names.class(class).ok_or_else(|| hands_in.bad("class", "is no class of this file"))?;
             let tenant = hands_in.maybe_text("tenant")?.map(|tenant| {
-                names.tenant(tenant).ok_or_else(|| hands_in.bad("tenant", "is no tenant of this file"))
+                let known = names.tenant(tenant).map(|_| tenant.to_string());
+                known.ok_or_else(|| hands_in.bad("tenant", "is no tenant of this file"))
             });
             let destination = listed(&hands_in)?;
             hands_in.finish()?;
-            let deadline = settings.classes.get(class).map_or(0, |class| class.deadline);
-            Ok(HandsIn { class, tenant: tenant.transpose()?, destination, deadline })
+            let deadline = settings.classes.get(number).map_or(0, |class| class.deadline);
+            Ok(HandsIn { class: class.into(), tenant: tenant.transpose()?, destination, deadline })
         });
         let receipt_to = partner.maybe_text("receipt_to")?.map(|text| match text.split_once('/') {
             Some((address, path)) if address.contains(':') => Ok((address.into(), format!("/{path}"))),
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -12,7 +12,7 @@
 use tokio::sync::oneshot;
 
 use crate::handover::state::Offer;
-use crate::interface::{Hearsay, ListForm, Micros, Outcome, Report, TargetId};
+use crate::interface::{Hearsay, ListForm, Micros, Outcome, Report, Settings, TargetId};
 use crate::wire::RawEntry;
 
 /// The relay's clock: Unix time in microseconds that never runs backwards while the process lives.
@@ -46,10 +46,10 @@
 pub struct Exchange {
     /// The client's id, passed on unchanged.
     pub id: String,
-    /// Index of its class in the settings.
-    pub class: usize,
-    /// Index of its tenant in the settings.
-    pub tenant: Option<usize>,
+    /// Its class, by name: which terms that stands for is settled as it is taken on.
+    pub class: String,
+    /// Its tenant.
+    pub tenant: Option<String>,
     /// It may be delivered until then.
     pub due: Micros,
     /// Number of its destination.
@@ -68,6 +68,8 @@
     TakenBefore,
     /// Fail-fast: handing it in again is harmless, best after so long.
     Refused(Cow<'static, str>, Option<Micros>),
+    /// Its class went while it was on its way.
+    Unknown,
     /// Given up at once; nobody hands it in again.
     Failed(Cow<'static, str>),
 }
@@ -143,6 +145,17 @@
     pub bytes: Bytes,
 }
 
+/// Settings that were read again and can be taken on.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Retuned {
+    /// The module's, checked.
+    pub settings: Settings,
+    /// The names of its classes, in order.
+    pub classes: Vec<String>,
+    /// The names of its tenants, in order.
+    pub tenants: Vec<String>,
+}
+
 /// What the fronts and the record tell the runtime.
 #[derive(Debug)]
 pub enum Input {
@@ -166,6 +179,8 @@
     Recorded(Vec<u64>),
     /// The platform has acknowledged these notices.
     Acknowledged(Vec<String>),
+    /// Other settings hold from now on.
+    Retuned(Box<Retuned>),
     /// Another process would take over.
     Offer(Offer),
     /// The process is to stop; the last call must have ended by then.
--- a/src/handover/link.rs
+++ b/src/handover/link.rs
@@ -155,8 +155,8 @@
     fn a_message_comes_over_with_its_body_in_pieces_or_at_once() {
         let exchange = Exchange {
             id: "m1".into(),
-            class: 1,
-            tenant: Some(0),
+            class: "paid-extra".into(),
+            tenant: Some("desk".into()),
             due: 7,
             destination: -3,
             body: Bytes::from(vec![0, 255, 13, 10]),
--- a/src/handover/state.rs
+++ b/src/handover/state.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
+use crate::classes::Classes;
 use crate::exchange::Exchange;
 use crate::interface::{MessageId, Micros, TargetId};
 use crate::rules::Relay;
@@ -30,6 +31,8 @@
     pub message: MessageId,
     /// The message.
     pub exchange: Exchange,
+    /// The number of its class in the table.
+    pub class: usize,
     /// Attempts used.
     pub attempts: u32,
     /// Its client never heard that it was taken on.
@@ -45,6 +48,8 @@
     pub relay: Relay,
     /// The names that its numbers stand for.
     pub names: Names,
+    /// The classes that are known, some by held messages alone.
+    pub classes: Classes,
     /// Messages met so far.
     pub met: u64,
     /// What is held.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -208,6 +208,8 @@
             need(worthy, format!("worth of class {i}"), class.worth, "finite and 0 or more")?;
             let timely = class.aim > 0 && class.aim <= class.deadline;
             need(timely, format!("aim of class {i}"), class.aim as f64, "over 0 and not past the deadline")?;
+            let late = (0.0..=1.0).contains(&class.late_worth);
+            need(late, format!("late worth of class {i}"), class.late_worth, "from 0 to 1")?;
         }
         let Settings { slots, max_held, max_attempts, senders, rules, .. } = self;
         let counts =
@@ -377,6 +379,8 @@
         /// One of them may have run.
         may_have_run: bool,
     },
+    /// Other settings hold from now on. A class that messages are held under keeps its index and its terms.
+    Retuned(Box<Settings>),
     /// The process ends then: what has no answer by that time gets none from it.
     Stop(Micros),
     /// An attempt ended.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -78,6 +78,7 @@
 #![forbid(unsafe_code)]
 
 pub mod as2;
+pub mod classes;
 pub mod config;
 pub mod draw;
 pub mod estimate;
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -9,7 +9,7 @@
 use futures_util::{SinkExt, StreamExt};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio_util::codec::Framed;
 
 use tracing::warn;
@@ -22,6 +22,7 @@
 use crate::interface::Micros;
 use crate::standing::{Leaving, Standing};
 
+const UNKNOWN_CLASS: &str = "unknown class";
 /// An id may have so many bytes.
 const MOST_ID: usize = 64;
 /// A whole request has to come within this of its first byte, or of its connection where it is the first.
@@ -64,7 +65,7 @@
 /// What is spoken on a listening socket.
 pub enum Front {
     /// The platform's protocol.
-    Platform(Vocabulary),
+    Platform(watch::Receiver<Vocabulary>),
     /// AS2.
     As2(Arc<As2>),
 }
@@ -379,10 +380,13 @@
         ("GET", "/health/ready") if inbound.standing.relay_ready() => (Message::response(200, "ready"), None),
         ("GET", "/health/ready") => (Message::response(503, inbound.standing.word()), None),
         ("POST", _) => match &inbound.front {
-            Front::Platform(names) => match read(&request, path, inbound.clock.now(), names) {
-                Err((status, why)) => (Message::response(status, why), None),
-                Ok(exchange) => hand_in(exchange, inbound).await,
-            },
+            Front::Platform(names) => {
+                let read = read(&request, path, inbound.clock.now(), &names.borrow());
+                match read {
+                    Err((status, why)) => (Message::response(status, why), None),
+                    Ok(exchange) => hand_in(exchange, inbound).await,
+                }
+            }
             Front::As2(front) => (front.answer(&request).await, None),
         },
         _ => (Message::response(405, "POST hands in a message"), None),
@@ -407,6 +411,7 @@
             };
             (answer, None)
         }
+        Ok(Answer::Unknown) => (Message::response(404, UNKNOWN_CLASS), None),
         Ok(Answer::Failed(why)) => (Message::response(500, why.into_owned()), None),
         Err(_) => (Message::response(503, "stopped"), None),
     }
@@ -416,12 +421,12 @@
     request: &Message, path: &str, now: Micros, names: &Vocabulary,
 ) -> Result<Exchange, (u16, &'static str)> {
     let class = path.trim_start_matches('/').split('/').next().unwrap_or_default();
-    let class = names.classes.iter().position(|name| name == class).ok_or((404, "unknown class"))?;
+    let class = names.classes.iter().find(|name| *name == class).ok_or((404, UNKNOWN_CLASS))?.clone();
     let id = request.header("X-Correlation-Id").filter(|id| !id.is_empty() && id.len() <= MOST_ID);
     let id = id.ok_or((400, "X-Correlation-Id is missing, empty or too long"))?;
     let tenant = match request.header("X-Account") {
         Some(name) => {
-            Some(names.tenants.iter().position(|known| known == name).ok_or((403, "unknown X-Account"))?)
+            Some(names.tenants.iter().find(|known| *known == name).ok_or((403, "unknown X-Account"))?.clone())
         }
         None if names.tenants.is_empty() => None,
         None => return Err((400, "X-Account is missing")),
--- a/src/recording.rs
+++ b/src/recording.rs
@@ -16,7 +16,7 @@
 use tracing::{info, warn};
 
 use crate::exchange::{Answer, Clock, Exchange, Input};
-use crate::interface::{self, Micros, Outcome, Settings};
+use crate::interface::{Micros, Outcome, Settings};
 use crate::store::{Heard, Journal, takeover};
 
 /// Of the disk, this part at most is for entries that wait for the database; of the memory, that part.
@@ -45,7 +45,6 @@
 pub struct Outbox {
     handle: Handle,
     next: u64,
-    once: Vec<bool>,
     most: u64,
     most_advice: Option<Micros>,
 }
@@ -53,9 +52,8 @@
 impl Outbox {
     /// An outbox whose numbers go on after `last`.
     pub fn new(handle: Handle, last: u64, settings: &Settings, disk: u64, memory: usize) -> Self {
-        let once = settings.classes.iter().map(|class| class.effect == interface::Effect::Unsafe).collect();
         let most = (disk / DISK_PART).min(memory as u64 / MEMORY_PART);
-        Outbox { handle, next: last + 1, once, most, most_advice: settings.longest_advice }
+        Outbox { handle, next: last + 1, most, most_advice: settings.longest_advice }
     }
 
     /// A number for the next entry.
@@ -86,14 +84,14 @@
 
     /// The end of a message, ready to be recorded.
     pub fn end(
-        &self, exchange: &Exchange, class: &str, tenant: Option<&String>, trace: Trace,
+        &self, exchange: &Exchange, once: bool, trace: Trace,
         (at, outcome): (Micros, record::model::Outcome), receipt: Option<Expected>,
     ) -> Entry {
         Entry::Ended(Box::new(Final {
             id: exchange.id.clone(),
-            class: class.to_string(),
-            once: self.once.get(exchange.class).copied().unwrap_or(true),
-            tenant: tenant.cloned(),
+            class: exchange.class.clone(),
+            once,
+            tenant: exchange.tenant.clone(),
             destination: exchange.destination,
             ended_at: at,
             outcome,
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -253,6 +253,11 @@
         })
     }
 
+    /// The settings in force.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
     /// Takes one event and adds the actions that it calls for.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         let answered = if let Event::Done(done) = &event { Some(done.target) } else { None };
@@ -263,6 +268,7 @@
                 self.arrive(now, arrival, attempts, may_have_run, actions);
             }
             Event::Stop(until) => self.stop(until),
+            Event::Retuned(settings) => self.retune(now, *settings, actions),
             Event::Done(done) => self.done(now, &done, actions),
             Event::Gone(id) => self.gone(id),
             Event::Told(told) => self.told(now, &told),
@@ -442,6 +448,18 @@
         held.iter().for_each(|id| self.hold(*id));
     }
 
+    /// Other settings: what has had as many attempts as there may be now ends at once, what is out with its outcome.
+    fn retune(&mut self, now: Micros, settings: Settings, actions: &mut Vec<Action>) {
+        let held: Vec<MessageId> = self.expiry.iter().map(|(_, id)| *id).collect();
+        held.iter().for_each(|id| self.unhold(*id));
+        self.settings = settings;
+        held.iter().for_each(|id| self.hold(*id));
+        let most = self.settings.max_attempts;
+        let spent = |id: &MessageId| self.messages.get(id).is_some_and(|message| message.attempts >= most);
+        let spent: Vec<MessageId> = held.into_iter().filter(spent).collect();
+        spent.into_iter().for_each(|id| self.end(now, id, actions));
+    }
+
     /// Guards the buffer against one destination's trouble, and keeps its last places for worth: the message
     /// that would leave last from the longest queue is refused at once. It also catches plain overload; it
     /// hurts when that queue was just about to move.
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -8,12 +8,16 @@
 
 use peers::witness::Seen;
 use record::model::{Effect as RecordedEffect, Entry, Expected, Late, Outcome as RecordedOutcome, Trace};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tracing::{debug, error, warn};
 
-use crate::exchange::{Answer, CallEnd, Clock, Exchange, Input, Member, Notice, OutboundCall, Receipt};
+use crate::classes::Classes;
+use crate::exchange::{
+    Answer, CallEnd, Clock, Exchange, Input, Member, Notice, OutboundCall, Receipt, Retuned,
+};
 use crate::handover::state::{Handed, HeldNow, LeftOut, Offer, OutNow};
 use crate::interface::*;
+use crate::net::inbound::Vocabulary;
 use crate::peering;
 use crate::permitting::{self, ToStewards};
 use crate::recording::{Outbox, heard};
@@ -49,6 +53,8 @@
     call: Option<oneshot::Sender<()>>,
     /// Where that went, and when.
     out: Option<(TargetId, Micros)>,
+    /// The number of its class.
+    class: usize,
     /// Its client never heard that it was taken on.
     withdrawn: bool,
     /// Its life so far, where its end is to be recorded.
@@ -61,7 +67,8 @@
         let (attempt, id) = (self.attempts.saturating_sub(1), &self.exchange.id);
         let out = self.out.map(|(target, began)| OutNow { id: id.clone(), attempt, target, began });
         let exchange = Exchange::clone(&self.exchange);
-        HeldNow { message, exchange, attempts: self.attempts, withdrawn: self.withdrawn, out }
+        let Held { class, attempts, withdrawn, .. } = *self;
+        HeldNow { message, exchange, class, attempts, withdrawn, out }
     }
 }
 
@@ -111,6 +118,9 @@
     clock: Clock,
     relay: Relay,
     names: Names,
+    classes: Classes,
+    settings: Settings,
+    vocabulary: watch::Sender<Vocabulary>,
     max_held: usize,
     max_bytes: usize,
     /// Bytes of the bodies that are held.
@@ -138,6 +148,8 @@
     owed: HashSet<String>,
     ended: EndedIds,
     revision: Arc<AtomicI64>,
+    /// Terms that nobody has any more: the module is told once the batch is done.
+    freed: bool,
     /// Another process would take over, once the batch is done.
     offer: Option<Offer>,
     /// When the stop was asked for, and by when the last call must have ended.
@@ -150,9 +162,14 @@
         clock: Clock, relay: Relay, names: Names, (max_held, max_bytes): (usize, usize), journal: Journal,
         caller: Box<dyn Caller>, notices: mpsc::UnboundedSender<Notice>,
     ) -> Self {
+        let settings = relay.settings().clone();
+        let classes = Classes::new(names.classes(), &settings.classes);
         Runtime {
             clock,
             relay,
+            vocabulary: watch::Sender::default(),
+            classes,
+            settings,
             names,
             max_held,
             max_bytes,
@@ -177,11 +194,19 @@
             owed: HashSet::new(),
             ended: EndedIds::default(),
             revision: Arc::default(),
+            freed: false,
             offer: None,
             stop: None,
         }
     }
 
+    /// Tells the clients' side which names there are, as settings change.
+    #[must_use]
+    pub fn naming(mut self, vocabulary: watch::Sender<Vocabulary>) -> Self {
+        self.vocabulary = vocabulary;
+        self
+    }
+
     /// Shows how much is held where operators and fronts look.
     #[must_use]
     pub fn shown_by(mut self, standing: Arc<Standing>) -> Self {
@@ -247,11 +272,12 @@
     }
 
     fn take_on_again(&mut self, stored: Stored) {
-        let class = self.names.class(&stored.class);
-        let tenant = stored.tenant.as_deref().and_then(|name| self.names.tenant(name));
-        let Stored { due, destination, body, attempts, may_have_run, trace, .. } = stored;
-        let known = class.unwrap_or(usize::MAX);
-        let exchange = Arc::new(Exchange { id: stored.id, class: known, tenant, due, destination, body });
+        let terms = stored.terms.clone().or_else(|| {
+            let current = self.classes.current(&stored.class);
+            current.and_then(|number| self.classes.terms(number)).cloned()
+        });
+        let Stored { id, class, tenant, due, destination, body, attempts, may_have_run, trace, .. } = stored;
+        let exchange = Exchange { id, class, tenant, due, destination, body };
         // What was taken on before there was a record is recorded as far as it is known.
         let trace = self.outbox.is_some().then(|| {
             trace.unwrap_or_else(|| {
@@ -262,15 +288,16 @@
                 trace
             })
         });
-        let Some(class) = class else {
-            let Exchange { id, .. } = &*exchange;
-            error!(message = *id, "taken on for class {:?}, which is no more", stored.class);
-            let notice = Notice { id: id.clone(), handed_back: false, retry_in_ms: None };
-            let ended = (&*exchange, trace, RecordedOutcome::Failed);
-            return self.over(ended, &stored.class, Some(notice));
+        let Some(terms) = terms else {
+            error!(message = exchange.id, "taken on for class {:?}, which is no more", exchange.class);
+            let notice = Notice { id: exchange.id.clone(), handed_back: false, retry_in_ms: None };
+            return self.over((&exchange, trace, RecordedOutcome::Failed), true, Some(notice));
         };
-        let exchange = Exchange { class, ..Exchange::clone(&exchange) };
-        let arrival = self.arrival(Arc::new(exchange), attempts, trace);
+        let (class, new) = self.classes.intern(&exchange.class, &terms);
+        let arrival = self.arrival(Arc::new(exchange), class, attempts, trace);
+        if new {
+            self.tell_settings();
+        }
         self.handle(Event::Resumed { arrival, attempts, may_have_run });
     }
 
@@ -294,6 +321,9 @@
                 self.timers.remove(&(at, token));
                 self.handle(Event::Timer(token));
             }
+            if std::mem::take(&mut self.freed) {
+                self.tell_settings();
+            }
             self.commit()?;
             if self.done_at().is_some_and(|at| at <= self.clock.now()) {
                 return Ok(End::Stopped);
@@ -316,6 +346,7 @@
         let handed = Handed {
             relay: self.relay.clone(),
             names: self.names.clone(),
+            classes: self.classes.clone(),
             met: self.met,
             held: self.held.iter().map(|(message, held)| held.now(*message)).collect(),
             addresses: self.addresses.iter().map(|(target, at)| (*target, at.clone())).collect(),
@@ -346,8 +377,10 @@
     pub fn adopt(
         &mut self, handed: Handed, replay: Replay,
     ) -> Result<Vec<(OutNow, oneshot::Receiver<()>)>, StoreError> {
-        let Handed { relay, names, met, held, addresses, destinations, timers, ended, .. } = handed;
-        (self.relay, self.names, self.met) = (relay, names, met);
+        let Handed { relay, names, classes, met, held, addresses, destinations, timers, ended, .. } = handed;
+        let (settings, tenants) = (self.settings.clone(), self.names.tenants().to_vec());
+        let retuned = Retuned { settings, classes: self.names.classes().to_vec(), tenants };
+        (self.relay, self.names, self.classes, self.met) = (relay, names, classes, met);
         self.addresses = addresses.into_iter().collect();
         self.destinations = destinations.into_iter().collect();
         self.timers = timers.into_iter().collect();
@@ -359,9 +392,10 @@
         let mut stored: HashMap<String, Stored> =
             replay.messages.into_iter().map(|stored| (stored.id.clone(), stored)).collect();
         let mut left = Vec::new();
-        for HeldNow { message, mut exchange, attempts, withdrawn, out } in held {
+        for HeldNow { message, mut exchange, class, attempts, withdrawn, out } in held {
             // The journal is what binds: what it does not hold is over.
             let Some(stored) = stored.remove(&exchange.id) else {
+                self.classes.release(class);
                 self.handle(Event::Gone(message));
                 continue;
             };
@@ -377,13 +411,38 @@
                 left.push((out, called_off));
             }
             let (exchange, trace) = (Arc::new(exchange), stored.trace);
-            self.held.insert(message, Held { exchange, attempts, call, out: sent, withdrawn, trace });
+            let held = Held { exchange, attempts, call, out: sent, class, withdrawn, trace };
+            self.held.insert(message, held);
         }
         stored.into_values().for_each(|stored| self.take_on_again(stored));
+        // What this process was started with holds from here on.
+        self.retune(retuned);
         self.commit()?;
         Ok(left)
     }
 
+    /// Other settings hold from now on, for the module, for new messages and for the clients' side.
+    fn retune(&mut self, retuned: Retuned) {
+        let Retuned { settings, classes, tenants } = retuned;
+        self.classes.replace(&classes, &settings.classes);
+        self.max_held = settings.max_held as usize;
+        self.settings = settings;
+        self.names.rename(classes.clone(), tenants.clone());
+        self.tell_settings();
+        self.vocabulary.send_replace(Vocabulary { classes, tenants });
+    }
+
+    /// The settings as the module has them, with the terms that are still held.
+    fn tell_settings(&mut self) {
+        let settings = Settings { classes: self.classes.all(), ..self.settings.clone() };
+        self.handle(Event::Retuned(Box::new(settings)));
+    }
+
+    /// Whether messages of a class must never take effect twice.
+    fn once(&self, class: usize) -> bool {
+        self.classes.terms(class).is_none_or(|terms| terms.effect == crate::interface::Effect::Unsafe)
+    }
+
     /// A stopping process may end then: with nothing left to do, or when its time is up.
     fn done_at(&self) -> Option<Micros> {
         let (asked, until) = self.stop?;
@@ -422,6 +481,7 @@
                     self.records.push(Record::Acknowledged { id });
                 }
             }
+            Input::Retuned(retuned) => self.retune(*retuned),
             // One at a time; the other finds its side dropped.
             Input::Offer(offer) => self.offer = Some(offer),
             Input::Stop(until) => {
@@ -439,6 +499,8 @@
         let refusal = if self.ids.contains_key(&exchange.id) || self.ended.ids.contains(exchange.id.as_str())
         {
             Some(Answer::TakenBefore)
+        } else if self.classes.current(&exchange.class).is_none() {
+            Some(Answer::Unknown)
         } else if !self.destinations.contains(&exchange.destination) {
             Some(Answer::Refused("unknown dest".into(), None))
         } else if self.held.len() >= self.max_held {
@@ -457,7 +519,8 @@
             return;
         }
         let trace = self.outbox.is_some().then(|| Trace::new(self.clock.now()));
-        let arrival = self.arrival(exchange.clone(), 0, trace.clone());
+        let class = self.classes.current(&exchange.class).unwrap_or(usize::MAX);
+        let arrival = self.arrival(exchange.clone(), class, 0, trace.clone());
         let id = arrival.id;
         let mut actions = Vec::new();
         self.relay.handle(self.clock.now(), Event::Arrival(arrival), &mut actions);
@@ -478,13 +541,14 @@
             let Exchange { due, destination, .. } = *exchange;
             self.records.push(Record::Taken(Stored {
                 id: exchange.id.clone(),
-                class: self.names.classes().get(exchange.class).cloned().unwrap_or_default(),
-                tenant: exchange.tenant.and_then(|tenant| self.names.tenants().get(tenant).cloned()),
+                class: exchange.class.clone(),
+                tenant: exchange.tenant.clone(),
                 destination,
                 due,
                 body: exchange.body.clone(),
                 attempts: 0,
                 may_have_run: false,
+                terms: self.classes.current(&exchange.class).and_then(|n| self.classes.terms(n)).cloned(),
                 trace,
             }));
             self.records.extend(receipt.map(Record::Receipt));
@@ -496,13 +560,17 @@
         self.carry_out(actions);
     }
 
-    fn arrival(&mut self, exchange: Arc<Exchange>, attempts: u32, trace: Option<Trace>) -> Arrival {
+    fn arrival(
+        &mut self, exchange: Arc<Exchange>, class: usize, attempts: u32, trace: Option<Trace>,
+    ) -> Arrival {
         self.met += 1;
         let id = MessageId(self.met);
-        let Exchange { class, tenant, due, destination, .. } = *exchange;
+        let Exchange { due, destination, .. } = *exchange;
+        let tenant = exchange.tenant.as_deref().and_then(|tenant| self.names.tenant(tenant));
+        self.classes.hold(class);
         self.ids.insert(exchange.id.clone(), id);
         self.held_bytes += exchange.body.len();
-        let held = Held { exchange, attempts, call: None, out: None, withdrawn: false, trace };
+        let held = Held { exchange, attempts, call: None, out: None, class, withdrawn: false, trace };
         self.held.insert(id, held);
         Arrival { id, class, tenant, key: None, due, destination: DestinationId(destination) }
     }
@@ -665,14 +733,15 @@
 
     /// A message that is held ends.
     fn finish(&mut self, id: MessageId, outcome: RecordedOutcome, notice: Option<Notice>) {
+        // Its terms are needed once more before they may go.
+        let once = self.held.get(&id).is_none_or(|held| self.once(held.class));
         let Some(held) = self.forget(id) else { return };
-        let class = self.names.classes().get(held.exchange.class).cloned().unwrap_or_default();
-        self.over((&held.exchange, held.trace, outcome), &class, notice);
+        self.over((&held.exchange, held.trace, outcome), once, notice);
     }
 
     /// The end of a message, with what the platform and the record are told of it.
     fn over(
-        &mut self, (exchange, trace, outcome): (&Exchange, Option<Trace>, RecordedOutcome), class: &str,
+        &mut self, (exchange, trace, outcome): (&Exchange, Option<Trace>, RecordedOutcome), once: bool,
         notice: Option<Notice>,
     ) {
         let (now, id) = (self.clock.now(), exchange.id.clone());
@@ -685,9 +754,8 @@
         }
         self.records.push(Record::Ended { id, notice });
         if let (Some(outbox), Some(trace)) = (&self.outbox, trace) {
-            let tenant = exchange.tenant.and_then(|tenant| self.names.tenants().get(tenant));
             let receipt = self.caller.expected(exchange);
-            let entry = outbox.end(exchange, class, tenant, trace, (now, outcome), receipt);
+            let entry = outbox.end(exchange, once, trace, (now, outcome), receipt);
             self.record(entry);
         }
     }
@@ -712,6 +780,9 @@
         let held = self.held.remove(&id)?;
         self.ids.remove(&held.exchange.id);
         self.held_bytes -= held.exchange.body.len();
+        if self.classes.release(held.class) {
+            self.freed = true;
+        }
         Some(held)
     }
 
--- a/src/store/bytes.rs
+++ b/src/store/bytes.rs
@@ -17,7 +17,12 @@
 pub fn encode(record: &Record, out: &mut Vec<u8>) {
     match record {
         Record::Taken(s) => {
-            out.push(if s.trace.is_some() { b't' } else { b'T' });
+            out.push(match (&s.terms, &s.trace) {
+                (None, None) => b'T',
+                (None, Some(_)) => b't',
+                (Some(_), None) => b'C',
+                (Some(_), Some(_)) => b'c',
+            });
             put(out, s.id.as_bytes());
             put(out, s.class.as_bytes());
             out.push(u8::from(s.tenant.is_some()));
@@ -27,6 +32,7 @@
             out.extend_from_slice(&s.attempts.to_le_bytes());
             out.push(u8::from(s.may_have_run));
             put(out, &s.body);
+            put_told(out, s.terms.as_ref());
             put_told(out, s.trace.as_ref());
         }
         Record::Started { id, attempt, begun } => {
@@ -74,7 +80,7 @@
     }
 }
 
-/// What only the record needs, as JSON, which an older or newer program reads as far as it knows it. Without a
+/// What the record needs, and the terms of a class, as JSON, which an older or newer program reads as far as it knows it. Without a
 /// record nothing is added, and the record's kind is the capital letter.
 fn put_told(out: &mut Vec<u8>, told: Option<&impl Serialize>) {
     if let Some(told) = told {
@@ -126,7 +132,7 @@
     let mut bits = Bits(bytes);
     let kind = bits.array::<1>()?[0];
     Some(match kind {
-        b'T' | b't' => {
+        b'T' | b't' | b'C' | b'c' => {
             let (id, class) = (bits.text()?, bits.text()?);
             let has_tenant = bits.flag()?;
             let tenant = Some(bits.text()?).filter(|_| has_tenant);
@@ -135,8 +141,20 @@
             let attempts = bits.number()?;
             let may_have_run = bits.flag()?;
             let body = Bytes::copy_from_slice(bits.bytes()?);
+            let terms = bits.told(if matches!(kind, b'C' | b'c') { b'c' } else { b'T' })?;
             let trace = bits.told(kind)?;
-            Record::Taken(Stored { id, class, tenant, destination, due, body, attempts, may_have_run, trace })
+            Record::Taken(Stored {
+                id,
+                class,
+                tenant,
+                destination,
+                due,
+                body,
+                attempts,
+                may_have_run,
+                terms,
+                trace,
+            })
         }
         b'S' | b's' => Record::Started { id: bits.text()?, attempt: bits.number()?, begun: bits.told(kind)? },
         b'O' | b'o' => {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -13,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::exchange::{Notice, Receipt};
-use crate::interface::Micros;
+use crate::interface::{Class, Micros};
 
 pub use self::bytes::{decode, encode};
 pub use journal::{Journal, Room, TO_END, TO_END_RECORDED};
@@ -44,7 +44,7 @@
 }
 
 /// A message as the store holds it. Class and tenant go by name, as their order may change between starts.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Stored {
     /// The client's id.
     pub id: String,
@@ -62,6 +62,8 @@
     pub attempts: u32,
     /// An attempt may have run, or is out.
     pub may_have_run: bool,
+    /// The terms of its class as it was taken on; none in what an older version wrote.
+    pub terms: Option<Class>,
     /// Its life so far, where its end is to be recorded.
     pub trace: Option<Trace>,
 }
@@ -89,7 +91,7 @@
 }
 
 /// One record.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Record {
     /// A message was taken on; or is noted again, as it now stands.
     Taken(Stored),
@@ -152,7 +154,7 @@
 }
 
 /// What a start finds: messages that are owed their end, and notices that are owed their acknowledgement.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Replay {
     /// In the order taken.
     pub messages: Vec<Stored>,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -332,6 +332,11 @@
         &self.classes
     }
 
+    /// Other classes and tenants.
+    pub fn rename(&mut self, classes: Vec<String>, tenants: Vec<String>) {
+        (self.classes, self.tenants) = (classes, tenants);
+    }
+
     /// The names of the tenants, in the order of the settings; empty at a site without.
     pub fn tenants(&self) -> &[String] {
         &self.tenants
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -139,6 +139,116 @@
     }
 }
 
+/// Replaces the configuration and has it read; waits until the log says what became of it.
+fn reload(program: &Program, folder: &Path, text: &str, logged: &str) {
+    std::fs::write(folder.join("config.json"), text).expect("a file");
+    program.signal("-HUP");
+    program.logged(logged);
+}
+
+#[test]
+fn a_file_that_is_broken_in_any_way_changes_nothing_and_a_sound_one_then_does() {
+    let endpoint = TcpListener::bind("127.0.0.1:0").expect("a socket");
+    let folder = folder("ops-broken");
+    let mut sound = configuration(&[endpoint.local_addr().expect("an address").to_string()]);
+    let program = start(&folder, &sound);
+    // All that a broken file could take from it shows in what these two are answered.
+    let mut client = connect(&program.addresses[0]);
+    let mut classes = |id: &str| {
+        let mut status = |class: &str| {
+            let bytes = handed_in(class, &format!("{class}-{id}"), 0, 2000, b"x");
+            ask(&mut client, &bytes).expect("an answer").status()
+        };
+        [status("status-update"), status("paid-extra"), status("newcomer")]
+    };
+    assert_eq!(classes("first"), [202, 202, 404]);
+    let mut class = sound["settings"]["Classes"][1].clone();
+    class["Name"] = "newcomer".into();
+    sound["settings"]["Classes"] = json!([sound["settings"]["Classes"][0], class]);
+    let text = sound.to_string();
+    // Prefixes of a good file: all lengths around its keys' ends would do, a spread of them shows it.
+    let mut broken: Vec<String> =
+        (0..text.len()).step_by(text.len() / 130).map(|n| text[..n].to_string()).collect();
+    let mut with = |change: &dyn Fn(&mut Value)| {
+        let mut value = sound.clone();
+        change(&mut value);
+        broken.push(value.to_string());
+    };
+    for key in ["name", "listen", "limits", "settings", "ops"] {
+        with(&|value| drop(value.as_object_mut().expect("a table").remove(key)));
+    }
+    let numbers =
+        [json!(0), json!(-5), json!(1.5), json!("12"), json!(null), json!("NaN"), json!([]), json!({})];
+    let keys = ["/Classes/0/DeadlineUs", "/Classes/1/AimUs", "/Limits/MaxAttempts", "/PeersTotal"];
+    for key in keys {
+        for number in &numbers {
+            with(&|value| *value["settings"].pointer_mut(key).expect(key) = number.clone());
+        }
+    }
+    for table in ["/Classes/0", "/Classes/1", "/Limits", "/Rules", "/Domain", "/Tenants/0"] {
+        let fields = sound["settings"].pointer(table).and_then(Value::as_object).expect("a table");
+        for field in fields.keys() {
+            with(&|value| {
+                let table = value["settings"].pointer_mut(table).and_then(Value::as_object_mut);
+                table.expect("a table").remove(field);
+            });
+        }
+    }
+    with(&|value| value["settings"]["Classes"][0]["Idempotency"] = "perhaps".into());
+    with(&|value| value["settings"]["Classes"][0]["Value"] = json!(-1));
+    with(&|value| value["settings"]["Classes"][0]["LateWorth"] = json!(7));
+    with(&|value| value["settings"]["Classes"][1]["Name"] = "status-update".into());
+    with(&|value| value["settings"]["Classes"] = json!([]));
+    with(&|value| value["listen"] = "nowhere".into());
+    with(&|value| *value = json!([]));
+    broken.push("null".into());
+    assert!(broken.len() >= 200, "{} files", broken.len());
+    for text in &broken {
+        reload(&program, &folder, text, "the configuration cannot be used, the old one stays");
+    }
+    assert_eq!(classes("then"), [202, 202, 404]);
+    reload(&program, &folder, &text, "configuration read again");
+    assert_eq!(classes("last"), [202, 404, 202]);
+}
+
+#[test]
+fn a_message_keeps_the_class_that_it_came_in_under_through_reloads_and_a_restart() {
+    let endpoint = TcpListener::bind("127.0.0.1:0").expect("a socket");
+    let folder = folder("ops-retuned");
+    let old = configuration(&[endpoint.local_addr().expect("an address").to_string()]);
+    let mut program = start(&folder, &old);
+    let mut client = connect(&program.addresses[0]);
+    let mut hand = |class: &str, id: &str| {
+        ask(&mut client, &handed_in(class, id, 0, 15_000, b"x")).expect("an answer").status()
+    };
+    let call = || {
+        let mut call = accept(&endpoint);
+        let heard = hear(&mut call).expect("a call");
+        (heard.header("X-Correlation-Id").unwrap_or_default().to_string(), call)
+    };
+    // A charge is out as its class becomes repeatable, and a repeatable one as its class becomes stricter.
+    assert_eq!((hand("paid-extra", "c1"), hand("status-update", "s1")), (202, 202));
+    let mut calls = [call(), call()];
+    calls.sort_by(|a, b| a.0.cmp(&b.0));
+    let mut new = old.clone();
+    new["settings"]["Classes"][0]["Idempotency"] = "at_most_once".into();
+    new["settings"]["Classes"][1]["Idempotency"] = "idempotent".into();
+    reload(&program, &folder, &new.to_string(), "configuration read again");
+    // What went is unknown to new messages; a thousand more settings would change no more than these.
+    let mut gone = new.clone();
+    gone["settings"]["Classes"] = json!([new["settings"]["Classes"][0]]);
+    reload(&program, &folder, &gone.to_string(), "configuration read again");
+    assert_eq!((hand("paid-extra", "c2"), hand("status-update", "s2")), (404, 202));
+    assert_eq!(call().0, "s2");
+    // The process dies with all three out: what each may do is in the journal, not in the file.
+    program.kill();
+    drop(calls);
+    let program = start(&folder, &gone);
+    assert_eq!(call().0, "s1", "it came in as repeatable; the charge and the stricter one may have run");
+    let (_, body) = order(&program.door, "GET", "/status");
+    assert_eq!(body["held"], json!(1), "the others ended at once: {body}");
+}
+
 #[test]
 fn a_relay_that_is_told_to_end_in_standby_ends_well() {
     let endpoint = TcpListener::bind("127.0.0.1:0").expect("a socket");
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -61,3 +61,41 @@
     assert_eq!((sent(&late), ended(&late)), (vec![], vec![(4, true)]));
     assert_eq!(ended(&rig.done(3, 2, Outcome::ConnectFailed)), [(3, true)]);
 }
+
+#[test]
+fn fewer_attempts_bind_what_is_held_at_once_and_what_is_out_with_its_outcome() {
+    let mut rig = Rig::sturdy();
+    // Both have had one attempt at the least; one more is out where the destination allows it.
+    let mut out = std::collections::BTreeSet::new();
+    for id in [1, 2] {
+        out.extend(sent(&rig.arrive(id, SAFE, 1)));
+        if out.remove(&id) {
+            out.extend(sent(&rig.done(id, 1, Outcome::ConnectFailed)));
+        }
+    }
+    let rules = RuleFigures { cold_from: 1.0, fall_multiple: 100.0, ..settings().rules };
+    let fewer = Settings { max_attempts: 1, rules, ..settings() };
+    let ended_now: Vec<u64> =
+        ended(&rig.event(Event::Retuned(Box::new(fewer)))).into_iter().map(|(id, _)| id).collect();
+    assert!(!out.is_empty() && !ended_now.is_empty());
+    assert_eq!(ended_now.len() + out.len(), 2, "held ones end at once: {ended_now:?}, out: {out:?}");
+    for id in out {
+        let last = rig.done(id, 1, Outcome::ConnectFailed);
+        assert_eq!((sent(&last), ended(&last)), (vec![], vec![(id, true)]), "no attempt beyond the limit");
+    }
+    assert_eq!(sent(&rig.arrive(3, SAFE, 2)), [3], "a new one has its first");
+    let end = rig.done(3, 2, Outcome::ConnectFailed);
+    assert_eq!((sent(&end), ended(&end)), (vec![], vec![(3, true)]));
+}
+
+#[test]
+fn a_message_that_is_held_keeps_its_terms_as_other_classes_come() {
+    let mut rig = Rig::two();
+    rig.arrive(1, UNSAFE, 1);
+    let mut settings = settings();
+    settings.classes.push(Class { effect: Effect::Safe, aim: 500 * MS, ..settings.classes[SAFE].clone() });
+    rig.event(Event::Retuned(Box::new(settings)));
+    let lost = rig.done(1, 1, Outcome::Reset);
+    assert_eq!((sent(&lost), ended(&lost)), (vec![], vec![(1, false)]), "never twice");
+    assert_eq!(sent(&rig.arrive(2, 4, 2)), [2]);
+}
