--- a/src/rules.rs
+++ b/src/rules.rs
@@ -52,6 +52,8 @@
 const SLOT_SHARE: u32 = 2;
 /// An endpoint that turned a call away for want of connections is tried with one more after this.
 const CROWDED_FOR: Micros = 200_000;
+/// With no slot free, a call that later ones overtook may go on for its aim over this.
+const OVERTAKEN_PART_OF_AIM: Micros = 2;
 /// Nothing starts in the last part of a stopping process: the shortest aim over this.
 const STOP_PART_OF_AIM: Micros = 4;
 /// To be answered within its aim a message has to start before the last one in so many parts of it.
@@ -448,7 +450,7 @@
         held.iter().for_each(|id| self.hold(*id));
     }
 
-    /// Other settings: what has had as many attempts as there may be now ends at once, what is out with its outcome.
+    /// Other settings: what has had its attempts ends at once, what is out with its outcome.
     fn retune(&mut self, now: Micros, settings: Settings, actions: &mut Vec<Action>) {
         let held: Vec<MessageId> = self.expiry.iter().map(|(_, id)| *id).collect();
         held.iter().for_each(|id| self.unhold(*id));
@@ -907,20 +909,21 @@
     }
 
     /// Guards the slots against calls that will hardly be answered any more: with none free and messages
-    /// waiting, the most overdue call that may be repeated is called off. It catches hangs, silence and lost
-    /// answers alike; it hurts, by work done twice, where answers would have come after all.
+    /// waiting, the first that is overdue is called off after its aim; after half of it where later calls were
+    /// answered well, as its connection is silent and what may be repeated can be in time. It hurts, by work
+    /// done twice or a message given up, where answers would have come after all.
     fn reclaim(&mut self, now: Micros, actions: &mut Vec<Action>) {
         if (self.calls.len() as u32) < self.settings.slots || !self.settings.cancel || self.held.is_empty() {
             return;
         }
-        let late = |id: &MessageId, begun: Micros| {
-            let class = self.messages.get(id).map(|m| &self.settings.classes[m.class]);
-            class.is_some_and(|c| c.effect != Effect::Unsafe && begun + c.aim <= now)
-        };
         let overdue = self.calls.values_mut().find(|call| {
-            !call.members.is_empty()
-                && self.lanes[call.lane].overdue(now - call.begun)
-                && call.members.iter().all(|(id, _)| late(id, call.begun))
+            let (lane, begun) = (&self.lanes[call.lane], call.begun);
+            let part = if lane.good > Some(begun) { OVERTAKEN_PART_OF_AIM } else { 1 };
+            let late = |(id, _): &(MessageId, u32)| {
+                let class = self.messages.get(id).map(|m| &self.settings.classes[m.class]);
+                class.is_some_and(|class| begun + class.aim / part <= now)
+            };
+            !call.members.is_empty() && lane.overdue(now - begun) && call.members.iter().all(late)
         });
         if let Some(call) = overdue {
             let members = std::mem::take(&mut call.members);
