--- a/src/rules.rs
+++ b/src/rules.rs
@@ -909,9 +909,9 @@
     }
 
     /// Guards the slots against calls that will hardly be answered any more: with none free and messages
-    /// waiting, the first that is overdue is called off after its aim; after half of it where later calls were
-    /// answered well, as its connection is silent and what may be repeated can be in time. It hurts, by work
-    /// done twice or a message given up, where answers would have come after all.
+    /// waiting, the first that is overdue is called off after its aim; after half of it where later calls
+    /// were answered well: its connection is silent, and a repeat can be in time. It hurts, by work done
+    /// twice or a message given up, where answers would have come after all.
     fn reclaim(&mut self, now: Micros, actions: &mut Vec<Action>) {
         if (self.calls.len() as u32) < self.settings.slots || !self.settings.cancel || self.held.is_empty() {
             return;
