Let a process that was superseded see its clients off before it ends at SIGTERM

Change: it goes when the last connection has ended, 4 s after the handover or 3.1 s after the signal at the latest.

--- a/src/handover/old.rs
+++ b/src/handover/old.rs
@@ -103,7 +103,7 @@
                 clients = count;
                 let _ = link.send(&Word::Clients(count)).await;
             }
-            let quiet = front.open() == 0 && (count == 0 || now >= leaves || until < Micros::MAX);
+            let quiet = front.open() == 0 && (count == 0 || now >= leaves);
             if quiet && out.is_empty() || now >= until {
                 info!("left: {} calls are still out, {count} clients' connections open", out.len());
                 return;
