--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -5,7 +5,10 @@
 
 use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::os::unix::net::UnixStream;
 use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, mpsc};
 
 use stand::site::{configuration, order};
 use stand::*;
@@ -131,18 +134,13 @@
     assert_eq!(id(&hear(&mut call).expect("a call")), "c1");
     // One that says hello and no more, and one that says nonsense: lost on the way, or of another make.
     for bytes in [&b""[..], b"\x04\0\0\0\0\0\0\0nope", b"\xff\xff\xff\xff\0\0\0\0"] {
-        let mut link =
-            std::os::unix::net::UnixStream::connect(scene.folder.join("state/handover")).expect("a link");
+        let mut link = UnixStream::connect(scene.folder.join("state/handover")).expect("a link");
         link.write_all(bytes).expect("written");
         drop(link);
     }
     let hello = |name: &str, version: u32| {
-        let head = serde_json::json!({"Hello": {"version": version, "name": name}}).to_string();
-        let mut bytes = (head.len() as u32).to_le_bytes().to_vec();
-        bytes.extend_from_slice(&[0; 4]);
-        bytes.extend_from_slice(head.as_bytes());
-        let mut link =
-            std::os::unix::net::UnixStream::connect(scene.folder.join("state/handover")).expect("a link");
+        let bytes = frame(&serde_json::json!({"Hello": {"version": version, "name": name}}));
+        let mut link = UnixStream::connect(scene.folder.join("state/handover")).expect("a link");
         link.write_all(&bytes).expect("written");
         link
     };
@@ -180,6 +178,136 @@
     assert_eq!(id(&hear(&mut call).expect("a call")), "f1", "the charge is not called again");
 }
 
+/// A word of the link, as it goes over.
+fn frame(word: &serde_json::Value) -> Vec<u8> {
+    let head = word.to_string();
+    let mut bytes = (head.len() as u32).to_le_bytes().to_vec();
+    bytes.extend_from_slice(&[0; 4]);
+    bytes.extend_from_slice(head.as_bytes());
+    bytes
+}
+
+/// The next word from the link, without a body.
+fn word(link: &mut UnixStream) -> Option<serde_json::Value> {
+    let mut lengths = [0; 8];
+    link.read_exact(&mut lengths).ok()?;
+    let head = u32::from_le_bytes([lengths[0], lengths[1], lengths[2], lengths[3]]);
+    let mut bytes = vec![0; head as usize];
+    link.read_exact(&mut bytes).ok()?;
+    serde_json::from_slice(&bytes).ok()
+}
+
+#[test]
+fn a_death_in_the_middle_of_the_steps_leaves_a_folder_from_which_nothing_runs_twice() {
+    // Whoever takes over here dies after it was told, after it accepted, and after the old one let go; or the old one
+    // dies while it stands still.
+    for step in ["old, offering", "new, accepted", "new, let go"] {
+        let scene = Scene::new(&format!("upgrade-step-{}", step.replace([',', ' '], "-")));
+        let mut old = scene.start();
+        let mut kept = connect(&scene.listen());
+        assert_eq!(status(&mut kept, &hand("paid-extra", "c1", 0)), 202);
+        let mut call = accept(&scene.endpoints[0]);
+        assert_eq!(id(&hear(&mut call).expect("a call")), "c1");
+        assert_eq!(status(&mut kept, &hand("status-update", "s1", 9)), 503, "it is out for certain");
+        let mut link = UnixStream::connect(scene.folder.join("state/handover")).expect("a link");
+        link.write_all(&frame(&serde_json::json!({"Hello": {"version": 1, "name": "n0"}}))).expect("written");
+        let state = word(&mut link).expect("a word");
+        assert_eq!(state["State"]["held"][0]["out"]["id"], "c1", "{state}");
+        if step == "old, offering" {
+            old.kill();
+        } else {
+            link.write_all(&frame(&serde_json::json!("Accept"))).expect("written");
+            if step == "new, let go" {
+                assert_eq!(word(&mut link).expect("a word"), "LetGo");
+            }
+        }
+        drop(link);
+        if step != "old, offering" {
+            // It never serves again, and says so.
+            old.logged("the process that took over is gone");
+            assert_eq!(status(&mut kept, &hand("status-update", "k1", 0)), 503);
+            assert_eq!(order(&old.door, "GET", "/status").1["state"], "superseded");
+        }
+        let new = scene.start();
+        let mut fresh = connect(&scene.listen());
+        assert_eq!(status(&mut fresh, &hand("status-update", "s2", 0)), 202);
+        let mut next = accept(&scene.endpoints[0]);
+        assert_eq!(id(&hear(&mut next).expect("a call")), "s2", "{step}: the charge may have run");
+        drop((call, new));
+    }
+}
+
+#[test]
+fn under_load_no_message_is_lost_or_runs_twice_and_no_client_is_refused_or_reset() {
+    let scene = Scene::new("upgrade-load");
+    // An endpoint that answers everything, and notes what ran.
+    let (ran, runs) = mpsc::channel();
+    let endpoint = scene.endpoints[0].try_clone().expect("the socket");
+    std::thread::spawn(move || {
+        for mut stream in endpoint.incoming().flatten() {
+            let ran = ran.clone();
+            std::thread::spawn(move || {
+                while let Some(heard) = hear(&mut stream) {
+                    let _ = ran.send(id(&heard));
+                    if stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    let mut old = scene.start();
+    let stop = Arc::new(AtomicBool::new(false));
+    let clients: Vec<_> = (0..6)
+        .map(|client| {
+            let (listen, stop) = (scene.listen(), stop.clone());
+            std::thread::spawn(move || {
+                let (mut stream, mut sent) = (connect(&listen), vec![]);
+                while !stop.load(Ordering::Relaxed) {
+                    let id = format!("{client}-{}", sent.len());
+                    let bytes = hand("paid-extra", &id, 0);
+                    let heard = match ask(&mut stream, &bytes) {
+                        Some(heard) => heard,
+                        // Closed between requests as this one was on its way: once more, on a new connection.
+                        None => {
+                            stream = connect(&listen);
+                            ask(&mut stream, &bytes).expect("an answer on a new connection")
+                        }
+                    };
+                    assert_eq!(heard.status(), 202, "{id} was refused");
+                    sent.push(id);
+                    if heard.header("Connection") == Some("close") {
+                        stream = connect(&listen);
+                    }
+                }
+                sent
+            })
+        })
+        .collect();
+    let mut all: Vec<String> = Vec::new();
+    for _ in 0..3 {
+        // Some hundred messages on each process.
+        all.extend(runs.iter().take(100));
+        let new = scene.start();
+        old.terminate();
+        assert!(old.ended_well());
+        old = new;
+    }
+    stop.store(true, Ordering::Relaxed);
+    let mut sent: Vec<String> =
+        clients.into_iter().flat_map(|client| client.join().expect("no client met an error")).collect();
+    // All that was taken on runs, and runs once.
+    while all.len() < sent.len() {
+        all.push(runs.recv_timeout(FAR).expect("what was taken on runs"));
+    }
+    old.terminate();
+    assert!(old.ended_well());
+    all.extend(runs.try_iter());
+    all.sort();
+    sent.sort();
+    assert_eq!(all, sent);
+}
+
 #[test]
 fn a_death_after_the_handover_leaves_a_folder_from_which_nothing_runs_twice() {
     for dies in ["old", "new", "both"] {
