Take a refusal where the limit is as good as spent for no sign of an outage

The line: Relay::learn handed every refusal to learn_health. Ruled out: slots (5 of 11 out), the handovers (still for 4 to 15 ms), stewards (two relays, none asked). Change: a refusal with less than half of a limit left and no wait beyond the fall window is the pacer's alone.

--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -173,7 +173,7 @@
     let partners = as2.as_ref().map(|(_, front)| front.clone());
     let caller = Box::new(Outbound::new(clock, inputs.clone(), connections.clone(), partners));
     let (messages, pending) = (replay.messages.len(), replay.notices.len());
-    let relay = Relay::new(config.settings.clone(), config.seed)?;
+    let relay = (Relay::new(config.settings.clone(), config.seed)?, config.settings.clone());
     let names = config.names.clone();
     let most = (config.settings.max_held as usize, config.limits.memory / MEMORY_HELD);
     let last = replay.entries.iter().map(|(number, _)| *number).max().unwrap_or(0);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -36,8 +36,9 @@
 /// Time-outs stay between so many aims, which an unsafe message gets, and this part of the deadline.
 const TIMEOUT_LEAST_AIMS: Micros = 2;
 const TIMEOUT_MOST_OF_DEADLINE: Micros = 2;
-/// New connections to a kind are scarce when more than this share of them fails.
+/// New connections to a kind are scarce when more than this fails; a limit is spent when less is left.
 const SCARCE: f64 = 0.03;
+const SPENT: f64 = 0.5;
 /// A rule on fail-back is broken when so much of an overload came from senders that had seen failure.
 const FALL_SHARE: f64 = 2.0 / 3.0;
 /// The part of the fail-back budget that is for calls soon after a sender's first failure.
@@ -255,11 +256,6 @@
         })
     }
 
-    /// The settings in force.
-    pub fn settings(&self) -> &Settings {
-        &self.settings
-    }
-
     /// Takes one event and adds the actions that it calls for.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         let answered = if let Event::Done(done) = &event { Some(done.target) } else { None };
@@ -679,7 +675,12 @@
         }
         let hard = failed && !dropped;
         let repeated = hard && outcome != Outcome::ConnectFailed;
-        self.learn_health(now, target, outcome, hard, jitter, call);
+        // A refusal with no long wait where little of the limit is left is no sign of an outage.
+        let window = self.settings.rules.fall_window;
+        let spent = report.left.is_some_and(|left| left < SPENT) && report.limit > Some(0.0);
+        if !spent || !matches!(outcome, Outcome::Full(wait) if wait.unwrap_or(0) <= window) {
+            self.learn_health(now, target, outcome, hard, jitter, call);
+        }
         let lane = &mut self.lanes[call.lane];
         match outcome {
             Outcome::Ok => {
@@ -908,10 +909,9 @@
         Ok(())
     }
 
-    /// Guards the slots against calls that will hardly be answered any more: with none free and messages
-    /// waiting, the first that is overdue is called off after its aim; after half of it where later calls
-    /// were answered well: its connection is silent, and a repeat can be in time. It hurts, by work done
-    /// twice or a message given up, where answers would have come after all.
+    /// Guards the slots: with none free and messages waiting, the first overdue call is called off after its
+    /// aim; after half of it where later calls were answered well, as its connection is silent. It hurts, by
+    /// work done twice or a message given up, where answers would have come after all.
     fn reclaim(&mut self, now: Micros, actions: &mut Vec<Action>) {
         if (self.calls.len() as u32) < self.settings.slots || !self.settings.cancel || self.held.is_empty() {
             return;
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -159,10 +159,10 @@
 impl Runtime {
     /// A runtime over a store that has been replayed, which holds so many messages, and bytes of their bodies.
     pub fn new(
-        clock: Clock, relay: Relay, names: Names, (max_held, max_bytes): (usize, usize), journal: Journal,
-        caller: Box<dyn Caller>, notices: mpsc::UnboundedSender<Notice>,
+        clock: Clock, (relay, settings): (Relay, Settings), names: Names,
+        (max_held, max_bytes): (usize, usize), journal: Journal, caller: Box<dyn Caller>,
+        notices: mpsc::UnboundedSender<Notice>,
     ) -> Self {
-        let settings = relay.settings().clone();
         let classes = Classes::new(names.classes(), &settings.classes);
         Runtime {
             clock,
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -71,6 +71,40 @@
     }
 }
 
+#[test]
+fn a_limit_that_is_lowered_and_spent_is_not_taken_for_an_outage() {
+    // Refused as the limit is spent, and again later; then answered. With an outage the next calls would wait for
+    // turns of a cold destination, a second or more apart.
+    let next_after = |left: f64| {
+        let mut rig = Rig::two();
+        let report = Report { left: Some(left), limit: Some(4.0) };
+        served(&mut rig, 1, 1, 8);
+        for id in [20, 21] {
+            rig.arrive(id, SAFE, 1);
+            let sent = rig.pass(3 * S);
+            let attempt = sent_at(&sent).len().saturating_sub(1) as u32;
+            rig.now += 10 * MS;
+            let outcome = Outcome::Full(None);
+            let done = Done {
+                id: MessageId(id),
+                attempt,
+                target: TargetId(1),
+                outcome,
+                took: MS,
+                over: false,
+                report,
+            };
+            rig.event(Event::Done(done));
+            rig.pass(S);
+            rig.done(id, 1, Outcome::Ok);
+        }
+        rig.arrive(30, SAFE, 1);
+        let from = rig.now;
+        sent_at(&rig.pass(10 * S)).first().map_or(0, |(at, _)| at - from)
+    };
+    assert!(next_after(0.1) < next_after(0.9), "{} and {}", next_after(0.1), next_after(0.9));
+}
+
 #[test]
 fn a_message_that_comes_with_little_time_is_tried() {
     let mut rig = Rig::two();
