Leave a new process a third of the clients' places while the old one's clients go

Not found; a guess from reading: with 192 connections kept at the old process the new one was left a single place (src/handover/new.rs), and what it does not accept is unread after 400 ms.

--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -17,7 +17,7 @@
 use tulipfall::config::{Config, ConfigError};
 use tulipfall::exchange::{Clock, Input, Retuned};
 use tulipfall::handover::link::{self, Link, Word};
-use tulipfall::handover::new::{Taken, keep, take_over};
+use tulipfall::handover::new::{Taken, keep, places, take_over};
 use tulipfall::handover::old::{finish, offer};
 use tulipfall::interface::Micros;
 use tulipfall::net::connections::Connections;
@@ -236,7 +236,7 @@
     if let Some(listener) = inherited.take() {
         if let Some((link, out)) = kept {
             // Clients' connections are shared between the two until the old one's are gone.
-            clients.store(most_clients / 8, Ordering::Relaxed);
+            clients.store(places(most_clients, most_clients), Ordering::Relaxed);
             connections.keep_at_most(most_idle / 8);
             let (inputs, clients, connections) = (inputs.clone(), clients.clone(), connections.clone());
             let (offer, state, name) = (inputs.clone(), config.state.clone(), config.name.clone());
--- a/src/handover/new.rs
+++ b/src/handover/new.rs
@@ -122,6 +122,12 @@
     }
 }
 
+/// How many clients the new process may have while the old one still has so many: what is left of the places of one
+/// relay, but a third of them at the least, as none may wait unread for the old one's to go.
+pub fn places(most: usize, old: usize) -> usize {
+    most.saturating_sub(old).max(most / 3)
+}
+
 /// What is said to the old process.
 enum Reply {
     Answer(u64, crate::exchange::Answer),
@@ -177,7 +183,7 @@
             Some(Ok(Word::Withdrawn(id))) => Input::Withdrawn(id),
             Some(Ok(Word::Acknowledged(ids))) => Input::Acknowledged(ids),
             Some(Ok(Word::Clients(count))) => {
-                clients.store(most_clients.saturating_sub(count).max(1), Ordering::Relaxed);
+                clients.store(places(most_clients, count), Ordering::Relaxed);
                 continue;
             }
             Some(Ok(_)) => continue,
@@ -202,3 +208,14 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_new_process_has_places_for_clients_even_while_the_old_one_has_them_all() {
+        assert_eq!((places(192, 0), places(192, 100)), (192, 92));
+        assert_eq!((places(192, 192), places(192, usize::MAX)), (64, 64));
+    }
+}
