Look a message's class up once, and start a process's care for successors in one place

Read again: a message handed in had its class looked up three times; the task that lets successors call stood twice, with and without a predecessor; one refusal was written twice.

--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -234,26 +234,24 @@
     }
     let (links, mut linked) = mpsc::channel(1);
     if let Some(listener) = inherited.take() {
-        if let Some((link, out)) = kept {
+        if kept.is_some() {
             // Clients' connections are shared between the two until the old one's are gone.
             clients.store(places(most_clients, most_clients), Ordering::Relaxed);
             connections.keep_at_most(most_idle / 8);
-            let (inputs, clients, connections) = (inputs.clone(), clients.clone(), connections.clone());
-            let (offer, state, name) = (inputs.clone(), config.state.clone(), config.name.clone());
-            let hands_over = hands_over(&config);
-            tokio::spawn(async move {
-                keep(link, out, inputs, clients, most_clients).await;
-                connections.keep_at_most(most_idle);
-                // From now on this one may be replaced in turn.
-                if hands_over {
-                    open_to_successors(&state, name, clock, offer, links).await;
-                }
-            });
-        } else if hands_over(&config) {
-            let (state, name, inputs) = (config.state.clone(), config.name.clone(), inputs.clone());
-            tokio::spawn(async move { open_to_successors(&state, name, clock, inputs, links).await });
         }
-        serving = Some(tokio::spawn(serve(listener, platform.clone(), clients.clone())));
+        let (inputs, places_now, connections) = (inputs.clone(), clients.clone(), connections.clone());
+        let (state, name, hands_over) = (config.state.clone(), config.name.clone(), hands_over(&config));
+        tokio::spawn(async move {
+            if let Some((link, out)) = kept {
+                keep(link, out, inputs.clone(), clients, most_clients).await;
+                connections.keep_at_most(most_idle);
+            }
+            // With nobody before it any more, this one may be replaced in turn.
+            if hands_over {
+                open_to_successors(&state, name, clock, inputs, links).await;
+            }
+        });
+        serving = Some(tokio::spawn(serve(listener, platform.clone(), places_now)));
     }
     let retiring = connections.clone();
     tokio::spawn(async move {
--- a/src/handover/old.rs
+++ b/src/handover/old.rs
@@ -23,6 +23,8 @@
 const COUNT_EVERY: Micros = 50_000;
 /// Connections that clients keep without a word are left behind after this.
 const LEAVES_WITHIN: Micros = 4_000_000;
+/// What a client is told whose request nobody owns any more.
+const ALONE: &str = "the process that took over is gone";
 /// After a signal to end, what is out is waited for until so long after the time of the last call.
 const STOP_MORE: Micros = 600_000;
 
@@ -113,7 +115,7 @@
             input = inputs.recv() => match input {
                 None => return,
                 Some(Input::Handed(_, _, reply)) if alone => {
-                    drop(reply.send(Answer::Refused("the process that took over is gone".into(), None)));
+                    drop(reply.send(Answer::Refused(ALONE.into(), None)));
                 }
                 Some(Input::Handed(exchange, _, reply)) => {
                     asked += 1;
@@ -157,7 +159,7 @@
                         let _ = off.send(());
                     }
                     for (_, reply) in waiting.drain() {
-                        drop(reply.send(Answer::Refused("the process that took over is gone".into(), None)));
+                        drop(reply.send(Answer::Refused(ALONE.into(), None)));
                     }
                 }
             },
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -497,10 +497,11 @@
         // What the batch has taken on so far is not in the store yet, and counts all the same.
         let bytes = exchange.body.len() + receipt.as_ref().map_or(0, |receipt| receipt.bytes.len());
         let bytes = bytes + self.journal.to_end() as usize;
+        let class = self.classes.current(&exchange.class);
         let refusal = if self.ids.contains_key(&exchange.id) || self.ended.ids.contains(exchange.id.as_str())
         {
             Some(Answer::TakenBefore)
-        } else if self.classes.current(&exchange.class).is_none() {
+        } else if class.is_none() {
             Some(Answer::Unknown)
         } else if !self.destinations.contains(&exchange.destination) {
             Some(Answer::Refused("unknown dest".into(), None))
@@ -520,7 +521,7 @@
             return;
         }
         let trace = self.outbox.is_some().then(|| Trace::new(self.clock.now()));
-        let class = self.classes.current(&exchange.class).unwrap_or(usize::MAX);
+        let class = class.unwrap_or(usize::MAX);
         let arrival = self.arrival(exchange.clone(), class, 0, trace.clone());
         let id = arrival.id;
         let mut actions = Vec::new();
@@ -549,7 +550,7 @@
                 body: exchange.body.clone(),
                 attempts: 0,
                 may_have_run: false,
-                terms: self.classes.current(&exchange.class).and_then(|n| self.classes.terms(n)).cloned(),
+                terms: self.classes.terms(class).cloned(),
                 trace,
             }));
             self.records.extend(receipt.map(Record::Receipt));
