--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -29,3 +29,11 @@
 pub fn incarnation(now: Micros) -> u32 {
     u32::try_from((now - EPOCH) / (SECOND / 10)).unwrap_or(0)
 }
+
+/// How near a relay stands to a destination: of those that answer, the nearest does what one has to do for all.
+pub fn rendezvous(destination: i64, peer: Peer) -> u64 {
+    let mixed = (destination as u64).wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ (u64::from(peer) << 20);
+    let mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
+    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
+    mixed ^ (mixed >> 31)
+}
--- a/crates/permits/src/lib.rs
+++ b/crates/permits/src/lib.rs
@@ -54,3 +54,13 @@
     }
     tiers
 }
+
+/// Takes one from the worthiest tier.
+pub fn take(tiers: &mut Tiers) {
+    if let Some((_, count)) = tiers.first_mut() {
+        *count = count.saturating_sub(1);
+        if *count == 0 {
+            tiers.remove(0);
+        }
+    }
+}
--- a/crates/permits/src/node.rs
+++ b/crates/permits/src/node.rs
@@ -10,12 +10,13 @@
 use fleet::link::{Channel, Out, Said, Sender};
 use fleet::members::Members;
 use fleet::note::{NoteError, Replay, Stamp};
+use fleet::rendezvous;
 use overload::waits::Waits;
 
 use crate::earlier;
 use crate::note::{CHANNEL, Item, MOST_TIERS, Sign, read};
-use crate::steward::{Answer, Asker, Cold, Fleet, Grant, Queue, Report, SLICE_FOR, Steward, VOID, take};
-use crate::{Micros, Peer, SECOND, Sharing, Tiers, waiting};
+use crate::steward::{Answer, Asker, Cold, Fleet, Grant, Queue, Report, SLICE_FOR, Steward, VOID};
+use crate::{Micros, Peer, SECOND, Sharing, Tiers, take, waiting};
 
 /// A want that is not answered is said again after this, to the same steward so many times in all, then to the next.
 const UNANSWERED: Micros = 6 * SECOND / 100;
@@ -446,19 +447,11 @@
         grants.into_iter().map(|grant| (self.tell(now, grant), (grant.to, grant.destination)).1).collect()
     }
 
-    /// How near a relay stands to a destination.
-    fn weight(destination: i64, peer: Peer) -> u64 {
-        let mixed = (destination as u64).wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ (u64::from(peer) << 20);
-        let mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
-        let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94D0_49BB_1331_11EB);
-        mixed ^ (mixed >> 31)
-    }
-
     /// The nearest relay, the avoided ones last.
     fn steward_of(&self, now: Micros, destination: i64) -> Peer {
         let avoided = |peer: Peer| self.avoided.get(&peer).is_some_and(|until| now < *until);
         let all = 0..self.config.relays;
-        all.max_by_key(|peer| (!avoided(*peer), Self::weight(destination, *peer))).unwrap_or(self.config.me)
+        all.max_by_key(|peer| (!avoided(*peer), rendezvous(destination, *peer))).unwrap_or(self.config.me)
     }
 
     /// Says what is due where the steward that is heard permits the whole.
@@ -590,7 +583,7 @@
 
     /// Relays that stand nearer than the one that is asked and did not answer are asked now and then whether they are there.
     fn probe(&mut self, now: Micros, destination: i64, asked: Peer) {
-        let nearer = |peer: &Peer| Self::weight(destination, *peer) > Self::weight(destination, asked);
+        let nearer = |peer: &Peer| rendezvous(destination, *peer) > rendezvous(destination, asked);
         let last = |peer: &Peer| self.probed.get(peer).copied().unwrap_or(Micros::MIN / 2);
         let longest = self.avoided.keys().copied().filter(nearer).min_by_key(last);
         if let Some(peer) = longest.filter(|peer| now - last(peer) >= self.terms.probe) {
--- a/crates/permits/src/steward.rs
+++ b/crates/permits/src/steward.rs
@@ -15,7 +15,7 @@
 use overload::waits::Waits;
 
 use crate::note::Sign;
-use crate::{Micros, Peer, SECOND, Sharing, Tiers, waiting};
+use crate::{Micros, Peer, SECOND, Sharing, Tiers, take, waiting};
 
 /// Of the rate, so much is used: calls arrive spread by the network, and a refused one may use up the limit.
 const USED: f64 = 0.95;
@@ -534,13 +534,3 @@
         waits.map(next).min().unwrap_or(Micros::MAX)
     }
 }
-
-/// Takes one from the worthiest tier.
-pub(crate) fn take(tiers: &mut Tiers) {
-    if let Some((_, count)) = tiers.first_mut() {
-        *count -= 1;
-        if *count == 0 {
-            tiers.remove(0);
-        }
-    }
-}
