--- a/crates/permits/src/node.rs
+++ b/crates/permits/src/node.rs
@@ -59,6 +59,8 @@
     pub cold: Cold,
     /// How limits are shared.
     pub sharing: Sharing,
+    /// A destination that fails at times is called as often as the share of its calls that succeeds.
+    pub follows: bool,
 }
 
 /// What a steward said to this relay.
@@ -158,7 +160,8 @@
 impl Node {
     /// A node that starts now.
     pub fn new(config: Config, now: Micros) -> Self {
-        let fleet = Fleet { sharing: config.sharing, me: config.me, relays: config.relays };
+        let Config { sharing, me, relays, follows, .. } = config;
+        let fleet = Fleet { sharing, me, relays, follows };
         Node {
             terms: Terms::of(u32::from(config.relays)),
             started: now,
@@ -324,6 +327,11 @@
         self.steward.queues(now)
     }
 
+    /// A destination of which this relay is the steward and that is under strain (see [`Steward::strained`]).
+    pub fn strained(&self, now: Micros, long: Micros) -> Option<i64> {
+        self.steward.strained(now, long)
+    }
+
     /// For operators, by destination: whom this relay asks, whether its own part is its own, and how many parts are lent
     /// to it.
     pub fn shares(&self, now: Micros) -> Vec<Share> {
--- a/crates/permits/src/steward.rs
+++ b/crates/permits/src/steward.rs
@@ -67,6 +67,15 @@
 const GIVEN_BACK: f64 = 0.7;
 /// A report stands for no more time than this.
 const REPORT_STANDS: Micros = SECOND / 4;
+/// Where the share that succeeds is followed: a failure that comes sooner than this is quick ...
+const QUICK: Micros = SECOND / 2;
+/// ... a run of failures is no outage while so long a one comes by chance more often than this ...
+const CHANCE: f64 = 0.02;
+/// ... a destination that was out for no longer than this does not return cold, it just fails at times ...
+const SHORT: Micros = 2 * SECOND;
+/// ... and what fails seldom is no sign. The share is that of about so many calls.
+const SELDOM: f64 = 0.1;
+const CALLS_SEEN: f64 = 16.0;
 /// Waits that are told are heeded up to a minute.
 const LONGEST_WAIT: Micros = 60 * SECOND;
 
@@ -103,6 +112,8 @@
     pub me: Peer,
     /// How many there are.
     pub relays: Peer,
+    /// A destination that fails at times is called as often as the share of its calls that succeeds.
+    pub follows: bool,
 }
 
 impl Fleet {
@@ -182,6 +193,10 @@
     last_signal: Option<Micros>,
     wait_until: Micros,
     failures: u32,
+    /// The part of the calls that fails, where the share that succeeds is followed; and that before the latest failures
+    /// in a row.
+    failing: f64,
+    failing_before: f64,
     refusals: u32,
     bad_since: Micros,
     out: bool,
@@ -237,7 +252,35 @@
             let warmed = (now - back) as f64 / cold.warm_after.max(1) as f64;
             (SPARE * (cold.from + (1.0 - cold.from) * warmed)).min(1.0)
         });
-        Some(rate * share / f64::from(1u32 << self.doublings))
+        // At its share alone, one of which three calls in ten fail would take half of what it could; at twice that, one of
+        // which eight in ten fail would get two fifths of its limit for nothing. The worse it is, the nearer to its share.
+        let succeeds = 1.0 - self.failing;
+        let succeeds = (succeeds * (1.0 + succeeds)).min(1.0);
+        Some(rate * share * succeeds / f64::from(1u32 << self.doublings))
+    }
+
+    /// So many failures in a row are an outage: where calls fail at times anyway, as many as hardly come by chance.
+    fn outage(&self) -> u32 {
+        if self.failing <= SELDOM {
+            return FAILURES;
+        }
+        let run = CHANCE.ln() / self.failing.min(1.0 - 1.0 / CALLS_SEEN).ln();
+        FAILURES.max(run.ceil() as u32)
+    }
+
+    /// What a call shows of the share that succeeds; whether its failure tells of that alone. Trials of one that is out
+    /// show nothing.
+    fn follow(&mut self, now: Micros, report: &Report) -> bool {
+        let quick = report.sign == Sign::Failed && now - report.began < QUICK;
+        let failed = match report.sign {
+            Sign::Well => 0.0,
+            _ if quick => 1.0,
+            _ => return false,
+        };
+        if !self.out {
+            self.failing += (failed - self.failing) / CALLS_SEEN;
+        }
+        quick
     }
 
     fn interval(&self, now: Micros, cold: Cold, fleet: Fleet) -> Option<Micros> {
@@ -343,6 +386,10 @@
             self.wait_until = self.wait_until.max(now + wait.clamp(0, LONGEST_WAIT));
         }
         let stale = self.last_signal.is_some_and(|signal| report.began <= signal);
+        if self.failures + self.refusals == 0 {
+            self.failing_before = self.failing;
+        }
+        let failing = fleet.follows && self.follow(now, report);
         match report.sign {
             Sign::Crowded => self.few = true,
             Sign::Well => {
@@ -351,7 +398,10 @@
                     self.doublings = 0;
                 }
                 if self.out {
-                    (self.out, self.back) = (false, Some(now));
+                    let brief = fleet.follows && now - self.bad_since <= SHORT;
+                    // After a long one it is as it was before; what was brief is part of how often it fails.
+                    self.failing = if brief { self.failing } else { self.failing_before };
+                    (self.out, self.back) = (false, Some(now).filter(|_| !brief));
                 }
                 (self.failures, self.refusals) = (0, 0);
             }
@@ -363,12 +413,13 @@
                     Sign::Failed => self.failures += 1,
                     _ => self.refusals += 1,
                 }
-                if !stale {
+                // The share that succeeds says it all of a quick failure.
+                if !stale && !failing {
                     self.doublings = (self.doublings + 1).min(MOST_DOUBLINGS);
                     self.last_signal = Some(now);
                 }
                 let refused = self.refusals >= REFUSALS && now - self.bad_since >= REFUSED_FOR;
-                if self.failures >= FAILURES || refused {
+                if self.failures >= self.outage() || refused {
                     (self.out, self.back) = (true, None);
                     self.backlog.rest();
                 }
@@ -483,6 +534,19 @@
         self.limits.iter().filter_map(queue).collect()
     }
 
+    /// A destination of which this relay is the steward and that asks for all there is: it is out, returns cold, or the
+    /// worthiest that waits for it waits for so long.
+    pub fn strained(&self, now: Micros, long: Micros) -> Option<i64> {
+        let strained = |(destination, limit): &(&i64, &Limit)| {
+            let asked = limit.asks.values().any(|ask| now - ask.said < WANTS_FOR && !ask.tiers.is_empty());
+            let cold = limit.back.is_some_and(|back| now - back < self.cold.warm_after);
+            let waits = self.waits(now, **destination, self.fleet.me);
+            let first = waits.levels().first().map_or(0, |(worth, ..)| waits.of(*worth, 0.0));
+            asked && (limit.out || cold) || first >= long
+        };
+        self.limits.iter().find(strained).map(|(destination, _)| *destination)
+    }
+
     /// A call ended.
     pub fn report(&mut self, now: Micros, destination: i64, report: &Report) {
         if let Some(limit) = self.limits.get_mut(&destination) {
--- a/crates/permits/tests/fleet.rs
+++ b/crates/permits/tests/fleet.rs
@@ -39,7 +39,7 @@
     fn new(me: Peer, (relays, sharing): (Peer, Sharing), incarnation: u32, keys: Keys, now: Micros) -> Self {
         let peers = (0..relays).collect();
         let link = link::Config { me, incarnation, peers, keys, bytes_per_s: 4000, asks: false };
-        let config = Config { me, relays, incarnation, cold: COLD, sharing };
+        let config = Config { me, relays, incarnation, cold: COLD, sharing, follows: false };
         Relay { link: Link::new(link, now), permits: Node::new(config, now) }
     }
 
@@ -65,7 +65,7 @@
 }
 
 fn alone() -> Steward {
-    Steward::new(COLD, Shared { sharing: Sharing::Whole, me: 0, relays: 4 })
+    Steward::new(COLD, Shared { sharing: Sharing::Whole, me: 0, relays: 4, follows: false })
 }
 
 fn asker(peer: Peer) -> Asker {
@@ -506,7 +506,8 @@
 /// Seven in ten are killed and stay so: what they owned is used again where answers say that there is room, and only there.
 #[test]
 fn parts_of_the_dead_are_reclaimed_as_reports_leave_room_and_given_back_at_a_refusal() {
-    let mut steward = Steward::new(COLD, Shared { sharing: Sharing::Parts, me: 0, relays: 10 });
+    let mut steward =
+        Steward::new(COLD, Shared { sharing: Sharing::Parts, me: 0, relays: 10, follows: false });
     steward.listed(9, 10.0);
     steward.own(9, true);
     let mut seen = [0; 3];
@@ -539,3 +540,47 @@
     let again = granted(20 * SECOND, None, Sign::Well);
     assert!(again <= little + 1, "{again} after refusals");
 }
+
+/// Calls that a steward permits in so many seconds where one waits all the time, each failing quickly by that chance, and the
+/// longest span without one.
+fn permitted(follows: bool, fails: f64, seconds: Micros) -> (usize, Micros) {
+    let mut steward = Steward::new(COLD, Shared { sharing: Sharing::Whole, me: 0, relays: 4, follows });
+    steward.listed(1, 20.0);
+    let asker = Asker { peer: 2, incarnation: 1, lends: None };
+    let (mut now, mut calls, mut drawn, mut last, mut longest) = (0, 0, 7u64, 0, 0);
+    while now < seconds * SECOND {
+        now += SECOND / 100;
+        steward.want(now, asker, 1, calls as u16, vec![(1000, 9)]);
+        for _ in steward.poll(now) {
+            drawn = drawn.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            let failed = ((drawn >> 33) as f64) < fails * f64::from(1u32 << 31);
+            let sign = if failed { Sign::Failed } else { Sign::Well };
+            steward.report(now, 1, &Report { sign, began: now - 1000, wait: None, limit: None, left: None });
+            (calls, longest, last) = (calls + 1, longest.max(now - last), now);
+        }
+    }
+    (calls, longest)
+}
+
+#[test]
+fn a_destination_that_fails_at_times_is_called_as_often_as_its_calls_succeed() {
+    // Twenty a second, of which 95 in 100 are used, over thirty seconds: 570.
+    for (fails, least, most) in
+        [(0.0, 560, 575), (0.05, 550, 575), (0.3, 440, 575), (0.5, 300, 480), (0.8, 100, 240)]
+    {
+        let (followed, longest) = permitted(true, fails, 30);
+        assert!((least..=most).contains(&followed), "{followed} calls where {fails} fail");
+        assert!(longest <= SECOND, "none for {longest} us where {fails} fail");
+    }
+    let ((before, _), (followed, _)) = (permitted(false, 0.3, 30), permitted(true, 0.3, 30));
+    assert!(before + 100 < followed, "{before} calls where nothing is followed, {followed} where it is");
+}
+
+#[test]
+fn one_that_is_out_gets_trials_alone_and_returns_cold_whether_its_share_is_followed_or_not() {
+    for follows in [false, true] {
+        let (calls, _) = permitted(follows, 1.0, 10);
+        // One in 250 ms, or at an eighth of the rate where its interval was doubled three times.
+        assert!((20..=60).contains(&calls), "{calls} trials in ten seconds");
+    }
+}
--- a/crates/rig/src/audit.rs
+++ b/crates/rig/src/audit.rs
@@ -228,6 +228,10 @@
     pub worst: (usize, f64),
     /// Calls to partners that were shut.
     pub trials: u64,
+    /// Calls for each message delivered.
+    pub calls: f64,
+    /// First calls of messages, and further ones.
+    pub calls_made: [usize; 2],
     /// Clients that were turned away.
     pub turned_away: usize,
     /// Messages of the phase that were taken on and ended otherwise than by delivery.
@@ -348,8 +352,10 @@
         .map(|phase| figures(scenario, log, phase.get_ref(), &notices, &best))
         .collect();
     let bounds = scenario.phases.iter().map(|phase| phase.get_ref());
-    let mut missed: Vec<String> =
-        bounds.zip(&phases).flat_map(|(phase, figures)| missed(phase, figures)).collect();
+    let mut missed: Vec<String> = bounds
+        .zip(&phases)
+        .flat_map(|(phase, figures)| missed(phase, scenario.each_partner().len(), figures))
+        .collect();
     missed.extend(not_out(scenario, log));
     Verdict {
         findings,
@@ -467,6 +473,9 @@
             most_calls = f64::max(most_calls, there / limit);
         }
     }
+    // Calls are noted in the order that they came.
+    let mut met = HashSet::new();
+    let firsts = log.calls.iter().filter(|call| met.insert(call.id.as_str()) && within(call.at_s)).count();
     let of_phase = || log.sent.iter().filter(|(_, sent)| within(sent.at_s));
     let taken = |sent: &Sent| matches!(sent.status, 200 | 202);
     let delivered = log.calls.iter().filter(|call| call.got == Got::Delivered);
@@ -505,12 +514,14 @@
         over: over.max(0.0),
         worst,
         trials: calls.iter().filter(|call| call.shut).count() as u64,
+        calls: calls.len() as f64 / count(Got::Delivered).max(1.0),
+        calls_made: [firsts, calls.len() - firsts],
         turned_away: of_phase().filter(|(_, sent)| matches!(sent.status, 429 | 503)).count(),
         given_up: of_phase().filter(|(id, sent)| taken(sent) && notices.contains_key(id.as_str())).count(),
     }
 }
 
-fn missed(phase: &Phase, figures: &Figures) -> Vec<String> {
+fn missed(phase: &Phase, partners: usize, figures: &Figures) -> Vec<String> {
     let mut missed = Vec::new();
     let name = &phase.name;
     if phase.most_calls.is_some() && figures.over > 0.0 {
@@ -529,6 +540,17 @@
     if let Some(most) = phase.trials.filter(|most| figures.trials > *most) {
         missed.push(format!("{name}: {} trials, over {most}", figures.trials));
     }
+    if let Some(most) = phase.calls.filter(|most| figures.calls > *most) {
+        missed.push(format!("{name}: {:.2} calls a delivery, over {most}", figures.calls));
+    }
+    let [firsts, repeats] = figures.calls_made;
+    let earned = |part: f64| part * firsts as f64 + (phase.to_s - phase.from_s) * partners as f64;
+    if let Some(part) = phase.repeats.filter(|part| repeats as f64 > earned(*part)) {
+        missed.push(format!(
+            "{name}: {repeats} further calls for {firsts} first ones, over {:.0}",
+            earned(part)
+        ));
+    }
     missed
 }
 
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -39,6 +39,12 @@
         /// A variable of the relays' environment, e.g. TULIPFALL_PERMITS=parts
         #[arg(long = "env", value_name = "KEY=VALUE", value_parser = variable)]
         environment: Vec<(String, String)>,
+        /// A build from before, which the last relays run
+        #[arg(long, requires = "older_relays")]
+        older: Option<PathBuf>,
+        /// So many of them
+        #[arg(long, requires = "older", default_value_t = 0)]
+        older_relays: usize,
         /// Where logs and lines are left
         #[arg(long, default_value = "target/rig/play")]
         folder: PathBuf,
@@ -124,8 +130,10 @@
 
 fn run(command: Command) -> Result<u8> {
     match command {
-        Command::Play { file, seed, relays, program, environment, folder, json } => {
-            let outcome = one((&file, relays), seed, &Build { program, environment }, &folder)?;
+        Command::Play { file, seed, relays, program, environment, older, older_relays, folder, json } => {
+            let older = older.map(|older| (older, older_relays));
+            let build = Build { older, ..Build::of(program, environment) };
+            let outcome = one((&file, relays), seed, &build, &folder)?;
             if json {
                 println!("{}", serde_json::to_string(&outcome)?);
             } else {
@@ -148,7 +156,7 @@
             Ok(0)
         }
         Command::Table { files, sizes, seeds, program, environment, folder } => {
-            let build = Build { program, environment };
+            let build = Build::of(program, environment);
             println!(
                 "| scenario, phase | relays | delivered of limit | refused/s | most | trials | broken |"
             );
@@ -167,8 +175,8 @@
             Ok(0)
         }
         Command::Compare { file, before, after, before_env, after_env, seeds, folder } => {
-            let before = Build { program: before, environment: before_env };
-            let after = Build { program: after, environment: after_env };
+            let before = Build::of(before, before_env);
+            let after = Build::of(after, after_env);
             compare(&file, [&before, &after], seeds, &folder)?;
             Ok(0)
         }
@@ -230,7 +238,7 @@
 
 fn table(outcome: &Outcome) {
     println!(
-        "{:12} {:>10} {:>9} {:>10} {:>7} {:>7} {:>7} {:>8} {:>6} {:>13} {:>12} {:>12}",
+        "{:12} {:>10} {:>9} {:>10} {:>7} {:>7} {:>7} {:>8} {:>6} {:>13} {:>12} {:>12} {:>12} {:>6}",
         "phase",
         "delivered",
         "of limit",
@@ -242,11 +250,13 @@
         "worth",
         "told s 50/90",
         "charges lost",
-        "again/taken"
+        "again/taken",
+        "first/more",
+        "calls"
     );
     for f in &outcome.verdict.phases {
         println!(
-            "{:12} {:>8.1}/s {:>9.2} {:>10.2} {:>7.2} {:>7} {:>7} {:>8} {:>6.2} {:>6.2}/{:<6.2} {:>6}/{:<5} {:>6}/{:<5}",
+            "{:12} {:>8.1}/s {:>9.2} {:>10.2} {:>7.2} {:>7} {:>7} {:>8} {:>6.2} {:>6.2}/{:<6.2} {:>6}/{:<5} {:>6}/{:<5} {:>6}/{:<5} {:>6.2}",
             f.phase,
             f.delivered_per_s,
             f.delivered,
@@ -261,7 +271,10 @@
             f.charges_lost[0],
             f.charges_lost[1],
             f.came_back[0],
-            f.came_back[1]
+            f.came_back[1],
+            f.calls_made[0],
+            f.calls_made[1],
+            f.calls
         );
     }
     for finding in &outcome.verdict.findings {
@@ -344,7 +357,7 @@
     let phases = outcomes[0].first().map_or(0, |outcome| outcome.verdict.phases.len());
     println!("{:12} {:20} {:>24} {:>24}", "phase", "figure", "before", "after");
     type Read = fn(&rig::audit::Figures) -> f64;
-    let figures: [(&str, Read); 9] = [
+    let figures: [(&str, Read); 11] = [
         ("delivered of limit", |f| f.delivered),
         ("refused a second", |f| f.refused_per_s),
         ("most calls of limit", |f| f.most_calls),
@@ -354,6 +367,8 @@
         ("turned away", |f| f.turned_away as f64),
         ("taken of who came back", |f| f.came_back[1] as f64 / f64::max(f.came_back[0] as f64, 1.0)),
         ("charges passed over", |f| f.charges_lost[1] as f64),
+        ("calls a delivery", |f| f.calls),
+        ("further calls", |f| f.calls_made[1] as f64),
     ];
     for phase in 0..phases {
         for (label, read) in &figures {
--- a/crates/rig/src/partner.rs
+++ b/crates/rig/src/partner.rs
@@ -201,6 +201,7 @@
             wait_ms: 0,
             report_noise: None,
             cold_s,
+            listed: true,
             work_ms: [0.0, 0.0],
         })
     }
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -126,6 +126,21 @@
     pub program: PathBuf,
     /// Variables and their values.
     pub environment: Vec<(String, String)>,
+    /// A build from before, and how many relays run it, the last ones.
+    pub older: Option<(PathBuf, usize)>,
+}
+
+impl Build {
+    /// One that all relays run.
+    pub fn of(program: PathBuf, environment: Vec<(String, String)>) -> Self {
+        Build { program, environment, older: None }
+    }
+
+    /// What a relay of so many runs.
+    fn of_relay(&self, relay: usize, relays: usize) -> &Path {
+        let older = self.older.as_ref().filter(|(_, last)| relay + last >= relays);
+        older.map_or(&self.program, |(older, _)| older)
+    }
 }
 
 /// Plays a scenario with a build; files are left in `folder`.
@@ -141,13 +156,15 @@
     if folder.exists() {
         std::fs::remove_dir_all(&folder).with_context(|| folder.display().to_string())?;
     }
-    let program = std::path::absolute(&build.program)?;
     let relays: Vec<usize> = (0..scenario.relays).collect();
     let clock = Clock::default();
     let partners = scenario.each_partner();
     let mut processes = Vec::new();
     for relay in &relays {
-        let listed = partners.iter().enumerate().map(|(n, p)| (net.partner(*relay, n), p.per_s));
+        let listed = partners
+            .iter()
+            .enumerate()
+            .map(|(n, p)| (net.partner(*relay, n), if p.listed { p.per_s } else { 0.0 }));
         let list = agent::list(&listed.collect::<Vec<_>>());
         let config = configuration(&scenario, &net, *relay, seed, list.clone());
         agent::start(scenario.clone(), *relay, clock.clone(), net.agent(*relay), list, book.clone()).await?;
@@ -156,6 +173,7 @@
         if scenario.turns > 0 {
             environment.push(("TULIPFALL_TURNS".into(), scenario.turns.to_string()));
         }
+        let program = std::path::absolute(build.of_relay(*relay, scenario.relays))?;
         processes.push(Mutex::new(Process::new(&program, &environment, own, &config)?));
     }
     let processes: Processes = Arc::new(processes);
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -123,6 +123,9 @@
     /// Once it was shut, it is back at 0.16 of its limit and warm after this, in seconds; warm at once where zero.
     #[serde(default)]
     pub cold_s: f64,
+    /// The directory lists its limit; else relays learn it by refusals and reports alone.
+    #[serde(default = "yes")]
+    pub listed: bool,
     /// How long a call takes, the least and the most, in milliseconds.
     #[serde(default = "usual_work")]
     pub work_ms: [f64; 2],
@@ -274,6 +277,10 @@
     pub delivered: Option<f64>,
     /// Calls to partners that are shut, in all.
     pub trials: Option<u64>,
+    /// Further calls of messages, beyond one a second and partner, are at most this part of first ones.
+    pub repeats: Option<f64>,
+    /// Calls for each delivery.
+    pub calls: Option<f64>,
 }
 
 impl What {
@@ -468,6 +475,10 @@
     1
 }
 
+fn yes() -> bool {
+    true
+}
+
 fn usual_work() -> [f64; 2] {
     [20.0, 60.0]
 }
--- a/crates/turns/src/node.rs
+++ b/crates/turns/src/node.rs
@@ -22,6 +22,10 @@
 const RESTS: Micros = 2 * SECOND / 5;
 /// An older wish that can be met, and does not ask, is waited for so long.
 const YIELDS: Micros = 3 * SECOND;
+/// Strain that was not said again for so long is over ...
+const STRAINED_FOR: Micros = 5 * SECOND / 2;
+/// ... and holds no wish back that is so old, in milliseconds: nobody waits for ever.
+const STRAIN_HOLDS_MS: u64 = 600_000;
 /// Refusals are remembered for so long.
 const REFUSED_FOR: Micros = 5 * SECOND;
 
@@ -84,6 +88,9 @@
     /// Older wishes that could be met, and since when they are waited for.
     yields: BTreeMap<Peer, Micros>,
     refused: BTreeMap<Peer, (Why, Micros)>,
+    /// Whether this relay sees strain, and when others said that they do.
+    strained: bool,
+    strains: BTreeMap<Peer, Micros>,
     now_ms: u64,
     out: Vec<(Peer, Word)>,
     orders: Vec<Order>,
@@ -120,6 +127,8 @@
             next_one: config.me,
             yields: BTreeMap::new(),
             refused: BTreeMap::new(),
+            strained: false,
+            strains: BTreeMap::new(),
             now_ms: 0,
             out: Vec::new(),
             orders: Vec::new(),
@@ -177,6 +186,23 @@
         }
     }
 
+    /// Whether this relay sees the fleet under strain: overload, an outage, a cold return. While one does no turn begins;
+    /// those begun go on.
+    pub fn strain(&mut self, now: Micros, strained: bool) {
+        if strained && !self.strained {
+            self.ping_at = now;
+        }
+        self.strained = strained;
+    }
+
+    /// Who sees strain that holds the wish of a relay back.
+    fn strained_by(&self, now: Micros, peer: Peer) -> Option<Peer> {
+        let old = self.wishes.of(peer).is_some_and(|wish| self.now_ms >= wish.since + STRAIN_HOLDS_MS);
+        let own = self.strained.then_some(self.config.me);
+        let said = self.strains.iter().find(|(_, at)| now - **at < STRAINED_FOR).map(|(peer, _)| *peer);
+        own.or(said).filter(|_| !old)
+    }
+
     /// The wish for this relay, while it is wanted.
     fn wanted(&self) -> Option<Wish> {
         self.wishes.of(self.config.me).filter(|wish| wish.stage == Stage::Wanted).copied()
@@ -234,6 +260,7 @@
     /// Another list of relays.
     pub fn replaced(&mut self, terms: Terms) {
         self.voter.replaced(terms.relays);
+        self.strains.retain(|peer, _| *peer < terms.relays);
         self.config.terms = terms;
         // Votes were for the fleet as it was.
         self.asking = None;
@@ -253,6 +280,9 @@
         if self.wishes.paused() {
             return Err(Why::Paused);
         }
+        if let Some(by) = self.strained_by(now, peer) {
+            return Err(Why::Strained(by));
+        }
         let written_off = |peer| self.wishes.written_off(peer);
         self.voter.may(now, &self.config.terms, self.state(), peer, seat, written_off)
     }
@@ -321,6 +351,9 @@
                 self.asked(now, from, fence, seat);
             }
             Word::Ask { .. } => {}
+            Word::Strained => {
+                self.strains.insert(from, now);
+            }
             Word::Vote(fence) => {
                 let any = self.voter.without == Guard::Fences;
                 let Some(asking) = &mut self.asking else { return };
@@ -413,13 +446,18 @@
         let Terms { relays, .. } = self.config.terms;
         let (me, mark) = (self.config.me, self.voter.mark(now));
         let busy = self.busy() || !self.voter.remembers(now, &self.config.terms);
-        self.ping_at = now + if busy { PING } else { IDLE };
+        self.ping_at = now + if busy || self.strained { PING } else { IDLE };
         let to: Vec<Peer> = if busy && self.config.terms.votes(me) {
             (0..relays).filter(|peer| *peer != me).collect()
         } else {
             self.next_one = (self.next_one + 1) % relays.max(1);
             std::iter::once(self.next_one).filter(|peer| *peer != me).collect()
         };
+        // Also while nothing is wanted: a wish may be asked for before strain could be told.
+        if self.strained {
+            let voters = self.config.terms.voters().filter(|peer| *peer != me);
+            self.out.extend(voters.map(|voter| (voter, Word::Strained)));
+        }
         for peer in to {
             let wishes = self.wishes.some();
             self.out.push((peer, Word::Ping { mark, wishes }));
@@ -465,6 +503,9 @@
             }
             Some(Why::Behind(peer)) => format!("relay {peer} has waited for longer"),
             Some(Why::Paused) => "operators hold all turns".into(),
+            Some(Why::Strained(peer)) => {
+                format!("a partner is out, returns, or has more to take than it can, as relay {peer} sees it")
+            }
         }
     }
 
--- a/crates/turns/src/note.rs
+++ b/crates/turns/src/note.rs
@@ -43,6 +43,8 @@
     Behind(Peer),
     /// Operators hold all turns.
     Paused,
+    /// This relay says that the fleet is under strain: no turn begins now.
+    Strained(Peer),
 }
 
 /// One thing that is told.
@@ -77,6 +79,8 @@
     Vote(Fence),
     /// You may not.
     No(Fence, Why),
+    /// A partner takes all that the fleet has, or nothing: no turn is to begin now.
+    Strained,
 }
 
 impl Word {
--- a/crates/turns/tests/world.rs
+++ b/crates/turns/tests/world.rs
@@ -329,6 +329,31 @@
     assert!(!world.relays[0].node.wishes().written_off(3), "it is back");
 }
 
+#[test]
+fn while_one_sees_strain_no_turn_begins_and_an_old_wish_is_held_no_more() {
+    let mut world = World::new(terms(6, 2, 1), 5);
+    let seer = 3;
+    world.relays[seer].node.strain(world.now, true);
+    (0..150).for_each(|_| world.step());
+    let now = world.now;
+    world.relays[0].node.wish(now, 1, Kind::Restart, Stage::Wanted);
+    (0..500).for_each(|_| world.step());
+    assert_eq!((world.most_out, &world.broken), (0, &None), "ten seconds of strain");
+    let why = world.relays[1].node.waits_for(world.now);
+    assert!(why.contains("relay 3 sees it"), "{why}");
+    world.relays[seer].node.strain(world.now, false);
+    (0..300).for_each(|_| world.step());
+    assert!(world.fences.keys().any(|(relay, _)| *relay == 1), "six seconds after it was over");
+    // Strain that lasts holds nobody for ever.
+    world.relays[seer].node.strain(world.now, true);
+    let now = world.now;
+    world.relays[0].node.wish(now, 2, Kind::Restart, Stage::Wanted);
+    (0..500).for_each(|_| world.step());
+    assert!(!world.fences.keys().any(|(relay, _)| *relay == 2));
+    (0..30_000).for_each(|_| world.step());
+    assert!(world.fences.keys().any(|(relay, _)| *relay == 2), "ten minutes after its wish");
+}
+
 #[test]
 fn an_abort_ends_a_wish_or_brings_back_who_is_out() {
     let mut world = World::new(terms(5, 1, 1), 11);
--- a/src/command/peers.rs
+++ b/src/command/peers.rs
@@ -31,6 +31,9 @@
     let columns: &[&str] = match part {
         "peers" => &["peer", "standing", "heard_s_ago", "trust", "incarnation"],
         "shares" => &["destination", "steward", "own", "lent", "of", "sliced"],
+        "repeats" => {
+            &["destination", "keeper", "credits", "firsts", "spent", "given", "had", "waiting", "asked"]
+        }
         "overload" => &["destination", "per_s", "cut", "waiting", "waits"],
         _ => &["destination", "known", "seen_s_ago", "by", "hops", "weight"],
     };
--- a/src/config.rs
+++ b/src/config.rs
@@ -176,7 +176,7 @@
     pub fn retuned(&self, start: &Config) -> Retuned {
         let Settings { kinds, senders, connect_timeout, connection_idle, probes, .. } =
             start.settings.clone();
-        let Settings { listed_rates, stewards, shares, ask_every, zone_fee, slots, .. } =
+        let Settings { listed_rates, stewards, shares, repeats, ask_every, zone_fee, slots, .. } =
             start.settings.clone();
         let settings = Settings {
             kinds,
@@ -187,6 +187,7 @@
             listed_rates,
             stewards,
             shares,
+            repeats,
             ask_every,
             zone_fee,
             // Descriptors were shared out by them at the start: fewer may be used, more may not.
@@ -315,9 +316,17 @@
                 )
             })?),
         };
+        let repeats = match environment("TULIPFALL_REPEATS").as_deref() {
+            None | Some("off") => false,
+            Some("shared") => true,
+            Some(other) => {
+                return Err(bad("TULIPFALL_REPEATS", format!("is {other:?}, expected shared or off")));
+            }
+        };
         let control = environment("TULIPFALL_CONTROL").map(PathBuf::from);
-        let fleet = platform_fleet(value, (permits, facts, seats), control)?;
+        let fleet = platform_fleet(value, (permits, facts, seats, repeats), control)?;
         (settings.stewards, settings.shares) = shared(fleet.as_ref());
+        settings.repeats = fleet.as_ref().is_some_and(|fleet| fleet.repeats);
         let known = value.get("known").filter(|known| !known.is_null());
         let known = known.map(told).transpose().map_err(|why| bad("known", why))?;
         let discovery = address("PROXY_DISCOVERY", "discovery")?;
@@ -554,6 +563,7 @@
         let as2 = as2.map(|table| operator_as2(&table, folder, &settings, &names, &cells)).transpose()?;
         top.finish()?;
         (settings.stewards, settings.shares) = shared(fleet.as_ref());
+        settings.repeats = fleet.as_ref().is_some_and(|fleet| fleet.repeats);
         Ok(Config {
             name,
             listen,
@@ -590,11 +600,12 @@
 /// The relay's part in its fleet, where the platform lets relays send notes: permits only where it says so and there is
 /// more than one.
 fn platform_fleet(
-    value: &Value, (permits, facts, seats): (Option<Sharing>, bool, Option<u8>), control: Option<PathBuf>,
+    value: &Value, (permits, facts, seats, repeats): (Option<Sharing>, bool, Option<u8>, bool),
+    control: Option<PathBuf>,
 ) -> Result<Option<Setup>, ConfigError> {
     let (Some(listen), Some(all)) = (value.get("peer_listen"), value.get("peers")) else { return Ok(None) };
     let may = value.pointer("/settings/Limits/Peers").and_then(Value::as_bool) == Some(true);
-    if !may && !facts && seats.is_none() {
+    if !may && !facts && seats.is_none() && !repeats {
         return Ok(None);
     }
     let address = |key: &str, value| address_in(value).map_err(|why| bad(key, why));
@@ -604,7 +615,7 @@
         value.pointer("/settings/MyNumber").and_then(Value::as_u64).and_then(|me| u16::try_from(me).ok());
     let me = me.filter(|me| usize::from(*me) < all.len());
     let permits = permits.filter(|_| may && all.len() > 1);
-    if permits.is_none() && !facts && seats.is_none() {
+    if permits.is_none() && !facts && seats.is_none() && !repeats {
         return Ok(None);
     }
     let zones = zones(value.get("peer_zones"), all.len()).map_err(|why| bad("peer_zones", why))?;
@@ -615,6 +626,7 @@
         bytes_per_s: NOTES_PER_S,
         keys: Keys::default(),
         permits,
+        repeats,
         facts: facts.then_some(FactsSetup { warm: true }),
         turns: seats.map(|seats| TurnsSetup { seats, zones }),
         control,
@@ -664,6 +676,11 @@
             return Err(table.bad("permits", format!("is {other:?}, expected off, whole or parts")));
         }
     };
+    let repeats = match table.maybe_text("repeats")?.unwrap_or("off") {
+        "off" => false,
+        "shared" => true,
+        other => return Err(table.bad("repeats", format!("is {other:?}, expected off or shared"))),
+    };
     let zones = zones(table.get("zones"), all.len()).map_err(|why| table.bad("zones", why))?;
     let turns = match table.get("turns") {
         None => None,
@@ -681,6 +698,7 @@
         bytes_per_s: table.number("bytes_per_s", 512.0, Some(f64::from(NOTES_PER_S)))? as u32,
         keys: Keys(keys),
         permits,
+        repeats,
         facts: Some(FactsSetup { warm }),
         turns,
         control: table.maybe_text("control")?.map(|path| folder.join(path)),
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -23,9 +23,11 @@
 use peers::witness::Witness;
 use permits::steward::Cold;
 use permits::{Sharing, earlier, node as permit};
+use repeats::node as repeat;
 use serde_json::{Value, json};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{UdpSocket, UnixListener, UnixStream};
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
 use tracing::{debug, info};
@@ -46,6 +48,8 @@
 const MOST_FACTS: usize = 4096;
 /// Things told by the runtime that are read between two looks at what is due.
 const BATCH: usize = 64;
+/// Where the worthiest that waits at a steward waits for so long, no relay goes out for work.
+const STRAIN: Micros = 1_000_000;
 /// An operator's line comes whole within this, and is no longer than that.
 const LINE_WITHIN: Duration = Duration::from_secs(2);
 const LONGEST_LINE: u64 = 4096;
@@ -67,6 +71,8 @@
     pub bytes_per_s: u32,
     /// How limits are shared, where they are.
     pub permits: Option<Sharing>,
+    /// Relays share one budget for repeats.
+    pub repeats: bool,
     /// Its part among peers that tell each other what they see.
     pub facts: Option<FactsSetup>,
     /// Its part among relays that take turns out for work.
@@ -88,6 +94,7 @@
     setup: Setup,
     link: Link,
     permits: Option<permit::Node>,
+    repeats: Option<repeat::Node>,
     facts: Option<(Facts, Witness, Snapshot)>,
     turning: Option<Turning>,
     cuts: Cuts,
@@ -126,9 +133,18 @@
     let relays = count(&setup.all);
     let permits = setup.permits.map(|sharing| {
         let cold = Cold { from: rules.cold_from, warm_after: rules.cold };
-        let config = permit::Config { me: setup.me, relays, incarnation: start, cold, sharing };
+        let config = permit::Config {
+            me: setup.me,
+            relays,
+            incarnation: start,
+            cold,
+            sharing,
+            follows: setup.repeats,
+        };
         permit::Node::new(config, now)
     });
+    let config = repeat::Config { me: setup.me, relays, incarnation: start };
+    let repeats = setup.repeats.then(|| repeat::Node::new(config, now));
     let mut kept = Vec::new();
     let facts = setup.facts.as_ref().map(|how| {
         let config = peers::node::Config { me: setup.me, most_facts: MOST_FACTS, seed, asks: how.warm };
@@ -150,6 +166,7 @@
         setup: setup.clone(),
         link,
         permits,
+        repeats,
         facts,
         turning,
         cuts: Cuts::default(),
@@ -179,13 +196,14 @@
 
 /// The channels that there are, the most urgent first.
 fn channels<'a>(
-    permits: &'a mut Option<permit::Node>, facts: &'a mut Option<(Facts, Witness, Snapshot)>,
-    turning: &'a mut Option<Turning>,
+    permits: &'a mut Option<permit::Node>, repeats: &'a mut Option<repeat::Node>,
+    facts: &'a mut Option<(Facts, Witness, Snapshot)>, turning: &'a mut Option<Turning>,
 ) -> Vec<&'a mut dyn Channel> {
     let permits = permits.iter_mut().map(|permits| permits as &mut dyn Channel);
+    let repeats = repeats.iter_mut().map(|repeats| repeats as &mut dyn Channel);
     let turns = turning.iter_mut().map(|turning| &mut turning.node as &mut dyn Channel);
     let facts = facts.iter_mut().map(|(facts, ..)| facts as &mut dyn Channel);
-    permits.chain(turns).chain(facts).collect()
+    permits.chain(repeats).chain(turns).chain(facts).collect()
 }
 
 /// What an operator asks, and where the answer goes.
@@ -198,11 +216,18 @@
         let (ask, mut asked) = mpsc::channel::<Asked>(ASKED);
         loop {
             let now = self.clock.now();
+            if let Some(turning) = &mut self.turning
+                && turning.looks_for_strain(now)
+            {
+                turning.strain(now, self.permits.as_ref().and_then(|permits| permits.strained(now, STRAIN)));
+            }
             let look = self.turning.as_mut().map_or(Micros::MAX, |turning| turning.look(now));
             self.say().await;
             let now = self.clock.now();
-            let mut next =
-                self.link.next_at(now, &channels(&mut self.permits, &mut self.facts, &mut self.turning));
+            let mut next = self.link.next_at(
+                now,
+                &channels(&mut self.permits, &mut self.repeats, &mut self.facts, &mut self.turning),
+            );
             if let Some((facts, _, snapshot)) = &mut self.facts {
                 snapshot.keep_if_due(now, facts.ledger());
                 next = next.min(snapshot.due());
@@ -243,8 +268,10 @@
     /// Sends what is due, and hands on what stewards said.
     async fn say(&mut self) {
         let now = self.clock.now();
-        let mut out =
-            self.link.poll(now, &mut channels(&mut self.permits, &mut self.facts, &mut self.turning));
+        let mut out = self.link.poll(
+            now,
+            &mut channels(&mut self.permits, &mut self.repeats, &mut self.facts, &mut self.turning),
+        );
         if let Some(permits) = &mut self.permits {
             out.extend(permits.say_earlier(self.link.keys()));
             for given in permits.take_given() {
@@ -255,6 +282,14 @@
                 let _ = self.inputs.try_send(Input::Waits(destination, waits));
             }
         }
+        for handed in self.repeats.iter_mut().flat_map(repeat::Node::take_handed).collect::<Vec<_>>() {
+            // What the relay is behind with is handed over later: nobody else has it.
+            if let (Err(TrySendError::Full(Input::Repeats(handed))), Some(repeats)) =
+                (self.inputs.try_send(Input::Repeats(handed)), &mut self.repeats)
+            {
+                repeats.not_taken(handed);
+            }
+        }
         for out in out {
             if let Some(to) = self.setup.all.get(usize::from(out.to)) {
                 // A note may be lost in any case.
@@ -268,11 +303,18 @@
             ToFleet::Listed(listed) => {
                 for (destination, rate) in listed {
                     self.permits.iter_mut().for_each(|permits| permits.listed(destination, rate));
+                    self.repeats.iter_mut().for_each(|repeats| repeats.listed(now, destination, rate));
                 }
             }
             ToFleet::Want(destination, tiers) => {
                 self.permits.iter_mut().for_each(|permits| permits.want(now, destination, tiers.clone()));
             }
+            ToFleet::First(destination) => {
+                self.repeats.iter_mut().for_each(|repeats| repeats.first(now, destination));
+            }
+            ToFleet::WantRepeats(destination, tiers) => {
+                self.repeats.iter_mut().for_each(|repeats| repeats.want(now, destination, tiers.clone()));
+            }
             ToFleet::Ended { destination, report, seen } => {
                 if let (Some(permits), Some(report)) = (&mut self.permits, report) {
                     permits.report(now, destination, &report);
@@ -294,7 +336,7 @@
         let taken = self.link.receive(
             now,
             bytes,
-            &mut channels(&mut self.permits, &mut self.facts, &mut self.turning),
+            &mut channels(&mut self.permits, &mut self.repeats, &mut self.facts, &mut self.turning),
         );
         if let (Err(NoteError::Version(earlier::VERSION)), Some(permits)) = (taken, &mut self.permits) {
             return permits.hear_earlier(now, bytes, self.link.keys());
@@ -319,6 +361,7 @@
         let relays = count(&self.setup.all);
         self.link.replace(numbers(relays));
         self.permits.iter_mut().for_each(|permits| permits.replaced(relays));
+        self.repeats.iter_mut().for_each(|repeats| repeats.replaced(relays));
         if let Some((facts, ..)) = &mut self.facts {
             facts.replaced(self.link.members());
         }
@@ -369,8 +412,15 @@
             .flat_map(|permits| permits.queues(now))
             .map(|queue| cuts::show(&queue))
             .collect();
+        let budget = |budget: repeat::Budget| {
+            let repeat::Budget { destination, keeper, credits, counts, waiting: [here, asked] } = budget;
+            json!({"destination": destination, "keeper": keeper, "credits": credits, "firsts": counts.firsts,
+                "spent": counts.spent, "given": counts.given, "had": counts.had, "waiting": here, "asked": asked})
+        };
+        let budgets: Vec<Value> =
+            self.repeats.iter().flat_map(|repeats| repeats.budgets(now)).map(budget).collect();
         let turns = self.turning.as_ref().map(|turning| turning.show(now));
-        json!({"peers": peers, "facts": known, "shares": shares, "overload": queues, "turns": turns, "sent": counts.sent,
+        json!({"peers": peers, "facts": known, "shares": shares, "overload": queues, "repeats": budgets, "turns": turns, "sent": counts.sent,
             "bytes": counts.bytes, "taken": counts.taken, "ignored": ignored, "skipped": counts.skipped,
             "news": facts.map_or(0, Facts::news_count)})
     }
--- a/src/fleet/told.rs
+++ b/src/fleet/told.rs
@@ -16,6 +16,10 @@
     Listed(Vec<(i64, f64)>),
     /// What waits for a destination beyond the permits held.
     Want(i64, Tiers),
+    /// A first attempt at a destination starts.
+    First(i64),
+    /// Repeats that wait for a destination beyond those that may start.
+    WantRepeats(i64, Tiers),
     /// How a call to a destination ended.
     Ended {
         /// The destination.
--- a/src/fleet/turning.rs
+++ b/src/fleet/turning.rs
@@ -20,6 +20,8 @@
 
 /// While a relay empties, it is looked at so often.
 const LOOK: Micros = 100_000;
+/// Strain is looked for so often.
+const STRAIN_EVERY: Micros = 250_000;
 /// It is empty once it has held nothing for so long: clients that have not heard yet may still come.
 const EMPTY_FOR: Micros = 500_000;
 
@@ -44,6 +46,8 @@
     by_turn: bool,
     empty_since: Option<Micros>,
     left: bool,
+    strained: bool,
+    strain_at: Micros,
     said: String,
 }
 
@@ -60,14 +64,46 @@
         }
         let terms = Terms { relays, seats: setup.seats, zones: setup.zones };
         let node = Node::new(Config { me, incarnation, terms }, now, &kept);
-        let (by_turn, empty_since, left, said) = (false, None, false, String::new());
-        Turning { node, me, standing, leave, file, by_turn, empty_since, left, said }
+        let (by_turn, empty_since, left, strained, said) = (false, None, false, false, String::new());
+        Turning {
+            node,
+            me,
+            standing,
+            leave,
+            file,
+            by_turn,
+            empty_since,
+            left,
+            strained,
+            strain_at: now,
+            said,
+        }
     }
 
     pub(super) fn replaced(&mut self, relays: Peer) {
         self.node.replaced(Terms { relays, ..self.node.terms().clone() });
     }
 
+    /// Whether it is time to look for strain.
+    pub(super) fn looks_for_strain(&mut self, now: Micros) -> bool {
+        let due = now >= self.strain_at;
+        self.strain_at = if due { now + STRAIN_EVERY } else { self.strain_at };
+        due
+    }
+
+    /// This relay sees a destination under strain, or none.
+    pub(super) fn strain(&mut self, now: Micros, strained: Option<i64>) {
+        if strained.is_some() != self.strained {
+            self.strained = strained.is_some();
+            info!(
+                destination = strained,
+                "turns: strain {}",
+                if self.strained { "holds them" } else { "is over" }
+            );
+        }
+        self.node.strain(now, self.strained);
+    }
+
     /// Looks at the process, and does what the node orders; when to look again.
     pub(super) fn look(&mut self, now: Micros) -> Micros {
         let serving = self.standing.phase() == Phase::Serving;
--- a/src/input.rs
+++ b/src/input.rs
@@ -36,6 +36,8 @@
     Permitted(permits::node::Given),
     /// A steward said how long what waits for a destination waits at the least.
     Waits(i64, overload::waits::Waits),
+    /// The fleet's budget lets repeats start.
+    Repeats(repeats::node::Handed),
     /// News of the destination set.
     Listed(ListForm, Vec<Member>),
     /// A receipt came for a message that was sent; with what it proves beside the message's end, if it ended no
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -161,6 +161,9 @@
     /// Each sender owns a part of every rate, and no other may use it: stewards are asked whatever a rate is.
     #[serde(default)]
     pub shares: bool,
+    /// Further attempts need a credit of the budget that all senders share (see the crate `repeats`).
+    #[serde(default)]
+    pub repeats: bool,
     /// The list must be asked for; the figure is how long an unasked sender stays excused.
     pub ask_every: Option<Micros>,
     /// For each zone, points for a message that a route apart there takes on.
@@ -408,6 +411,15 @@
         /// By worth, in thousandths.
         waits: overload::waits::Waits,
     },
+    /// The senders' budget at a destination lets so many more repeats start.
+    Repeats {
+        /// The destination.
+        destination: DestinationId,
+        /// Repeats that may start.
+        repeats: u32,
+        /// How long those that wait beyond them wait at the least, by worth, where that is told.
+        waits: Option<overload::waits::Waits>,
+    },
     /// A timer set by the module is due.
     Timer(u64),
     /// A probe ended.
@@ -465,6 +477,13 @@
         /// So many messages of each worth, the worthiest first.
         tiers: permits::Tiers,
     },
+    /// Ask the senders' budget for repeats that wait for a destination, beyond those that may start.
+    WantRepeats {
+        /// The destination.
+        destination: DestinationId,
+        /// So many messages of each worth, the worthiest first.
+        tiers: permits::Tiers,
+    },
     /// Check a target.
     Probe(TargetId),
     /// Close the idle connections to a target.
--- a/src/main.rs
+++ b/src/main.rs
@@ -69,6 +69,11 @@
         #[command(subcommand)]
         command: peers::Show,
     },
+    /// Shows the budget for repeats that the fleet shares, by destination
+    Repeats {
+        #[command(subcommand)]
+        command: peers::Show,
+    },
     /// Wishes a relay out for work; the fleet settles when
     Out(turns::Out),
     /// Brings back a relay that is out, before its process ended
@@ -137,6 +142,7 @@
         Some(Command::Peers { command: peers::Show::Show(socket) }) => peers::show(&socket, "peers"),
         Some(Command::Facts { command: peers::Show::Show(socket) }) => peers::show(&socket, "facts"),
         Some(Command::Overload { command: peers::Show::Show(socket) }) => peers::show(&socket, "overload"),
+        Some(Command::Repeats { command: peers::Show::Show(socket) }) => peers::show(&socket, "repeats"),
         Some(Command::Out(out)) => turns::out(&out),
         Some(Command::Back(socket)) => turns::back(&socket),
         Some(Command::Abort(one)) => turns::abort(&one),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -8,24 +8,24 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
-use overload::backlog::Backlog;
 use overload::waits::Waits;
-use permits::held::{Gate, Held};
+use permits::held::Gate;
+use repeats::hand::Hand;
 use serde::{Deserialize, Serialize};
 
 use crate::draw::{jitter, scatter, stretched};
-use crate::estimate::{AnswerTimes, SMOOTHING};
+use crate::estimate::SMOOTHING;
 use crate::interface::*;
-use crate::pacing::{Pacer, fall_budget, warming};
-use crate::state::{Call, Destination, Endpoint, KeyLine, Message, Rank, Trouble};
+use crate::pacing::{fall_budget, warming};
+use crate::state::{
+    Call, DEVIATIONS, Destination, Endpoint, KeyLine, Lane, Message, NEVER, Rank, SECOND, Trouble,
+};
 
 /// With no listed rate, the first interval is the recent spacing, at most the shortest aim over this.
 const UNLISTED_PART_OF_AIM: Micros = 10;
 /// A steward is asked where as many calls of one sender as there are senders take more than so many shortest
 /// aims: by its own outcomes it would learn too late what all do. Few senders see each other's soon.
 const ASK_AIMS: Micros = 4;
-/// An answer is overdue, and a call timed out, after the mean answer time and so many mean deviations.
-const DEVIATIONS: Micros = 5;
 /// Time-outs stay between so many aims, which an unsafe message gets, and this part of the deadline.
 const TIMEOUT_LEAST_AIMS: Micros = 2;
 const TIMEOUT_MOST_OF_DEADLINE: Micros = 2;
@@ -50,46 +50,14 @@
 const STOP_PART_OF_AIM: Micros = 4;
 /// To be answered within its aim a message has to start before the last one in so many parts of it.
 const START_PART_OF_AIM: Micros = 16;
-/// Worth is compared in thousandths; a second is so many of the clock's microseconds.
+/// Worth is compared in thousandths.
 const WORTH_UNIT: f64 = 1000.0;
-const SECOND: f64 = 1e6;
 /// What a steward said of waits counts for so long.
 const WAITS_FOR: Micros = 1_000_000;
 /// An idle connection is kept where the usual spacing of calls is at most one in so many of its idle life.
 const REUSE_PART: Micros = 2;
-const NEVER: Micros = Micros::MAX;
-
-/// What shares one limit, one wait and one outage: a destination, or a route where routes are apart.
-/// Invariant: nothing starts before `ready_at`.
-#[derive(Clone, Default, Serialize, Deserialize)]
-struct Lane {
-    pacer: Pacer,
-    wait_until: Option<Micros>,
-    trouble: Option<Trouble>,
-    /// Start of the latest call that was answered well outside of a trouble.
-    good: Option<Micros>,
-    /// Calls a second that all senders together may make, as far as told.
-    rate: Option<f64>,
-    /// A report told the limit, and is fresher than the list.
-    reported: bool,
-    out: u32,
-    times: AnswerTimes,
-    /// What a steward permits, who paces all senders together; their own pace counts where none is heard.
-    held: Held,
-    /// What waits here, and how long all of it waits, as its steward said, until then.
-    #[serde(default)]
-    backlog: Backlog,
-    #[serde(default)]
-    waits: (Waits, Micros),
-}
 
 impl Lane {
-    /// The gap between this sender's calls at its part of the rate told, else as lately seen.
-    fn usual_gap(&self, senders: u32) -> Micros {
-        let listed = self.rate.map(|rate| (f64::from(senders) * SECOND / rate) as Micros);
-        listed.or(self.pacer.spacing).unwrap_or(NEVER)
-    }
-
     /// The pacer and a told wait, and a turn where one is needed.
     fn ready_at(&self, now: Micros, free: bool) -> Micros {
         let waits = now.max(self.wait_until.unwrap_or(now));
@@ -133,15 +101,13 @@
         let warm_at = trouble.back.map_or(NEVER, |back| back + warming(settings));
         trouble.turn = from.saturating_add(gap as Micros).min(warm_at);
     }
+}
 
-    /// What a steward said lately of how long all that waits here waits.
-    fn said(&self, now: Micros) -> Option<&Waits> {
-        Some(&self.waits).filter(|(_, until)| now < *until).map(|(waits, _)| waits)
-    }
-
-    /// A call that took so long should have been answered.
-    fn overdue(&self, took: Micros) -> bool {
-        self.times.within(DEVIATIONS).is_some_and(|usual| took > usual)
+impl Destination {
+    /// Guards a destination that fails against what its senders' repeats add up to: a further attempt needs a
+    /// credit of their budget. It hurts where a failure was one endpoint's alone.
+    fn may_repeat(&self, now: Micros, message: &Message, settings: &Settings) -> bool {
+        message.attempts == 0 || !settings.repeats || self.repeats.count(now) > 0
     }
 }
 
@@ -223,6 +189,10 @@
                 let lane = self.destinations.get(&destination).filter(|d| !d.apart).map(|d| d.lane);
                 lane.into_iter().for_each(|n| self.lanes[n].waits = (waits.clone(), now + WAITS_FOR));
             }
+            Event::Repeats { destination, repeats, waits } => {
+                let place = self.destinations.get_mut(&destination);
+                place.into_iter().for_each(|place| place.repeats.given(now, repeats, waits.clone()));
+            }
             Event::Timer(token) if token == self.token => self.timer = None,
             Event::Timer(_) | Event::Probed { .. } => {}
         }
@@ -233,6 +203,7 @@
             actions.push(Action::Watch);
         }
         self.ask(now, actions);
+        self.ask_repeats(now, actions);
         let due = self.release(now, actions);
         self.give_up(now, actions);
         self.shed(now, actions);
@@ -259,7 +230,11 @@
                 continue;
             }
             let may = if lane.wait_until > Some(now) { 0 } else { free };
-            let beyond = destination.queue.iter().take(may).skip(lane.held.count(now));
+            let ready = |(_, id): &&(Rank, MessageId)| {
+                let message = self.messages.get(id);
+                message.is_some_and(|m| destination.may_repeat(now, m, &self.settings))
+            };
+            let beyond = destination.queue.iter().filter(ready).take(may).skip(lane.held.count(now));
             let tiers = permits::tiers(beyond.map(|(rank, _)| rank.0.0));
             if lane.held.want(now, &tiers) {
                 actions.push(Action::Want { destination: *id, tiers });
@@ -267,6 +242,19 @@
         }
     }
 
+    /// What waits for a credit of the senders' budget for repeats, beyond those held.
+    fn ask_repeats(&mut self, now: Micros, actions: &mut Vec<Action>) {
+        for (id, destination) in self.destinations.iter_mut().filter(|_| self.settings.repeats) {
+            let again = |id: &MessageId| self.messages.get(id).is_some_and(|m| m.attempts > 0);
+            let repeats = destination.queue.iter().filter(|(_, id)| again(id));
+            let beyond = repeats.skip(destination.repeats.count(now));
+            let tiers = permits::tiers(beyond.map(|(rank, _)| rank.0.0));
+            if destination.repeats.want(&tiers) {
+                actions.push(Action::WantRepeats { destination: *id, tiers });
+            }
+        }
+    }
+
     fn permitted(&mut self, now: Micros, id: DestinationId, permits: u16, few: bool) {
         let Some(destination) = self.destinations.get(&id).filter(|d| !d.apart) else { return };
         self.lanes[destination.lane].held.heard(now, permits);
@@ -343,7 +331,8 @@
         self.destinations.entry(id).or_insert_with(|| {
             let (endpoints, queue) = (BTreeSet::new(), BTreeSet::new());
             lanes.push(Lane::default());
-            Destination { lane: lanes.len() - 1, apart: false, batch: 1, endpoints, queue }
+            let (lane, repeats) = (lanes.len() - 1, Hand::default());
+            Destination { lane, apart: false, batch: 1, endpoints, queue, repeats }
         })
     }
 
@@ -779,6 +768,13 @@
     fn shed(&mut self, now: Micros, actions: &mut Vec<Action>) {
         let mut hopeless = Vec::new();
         for destination in self.held.iter().filter_map(|id| self.destinations.get(id)).filter(|d| !d.apart) {
+            // A repeat that will get no credit in time.
+            if let Some(waits) = destination.repeats.waits(now) {
+                let (queue, settings) = (destination.queue.iter(), &self.settings);
+                let repeats = queue.filter_map(|(_, id)| Some((*id, self.messages.get(id)?)));
+                let barred = repeats.filter(|(_, m)| !destination.may_repeat(now, m, settings));
+                hopeless.extend(barred.filter(|(_, m)| !self.has_hope(now, m, 0.0, waits)).map(|(id, _)| id));
+            }
             let lane = &mut self.lanes[destination.lane];
             if lane.trouble.is_some() || lane.wait_until > Some(now) {
                 lane.backlog.rest();
@@ -836,7 +832,7 @@
             for target in &destination.endpoints {
                 let Some(endpoint) = self.endpoints.get(target) else { continue };
                 let lane = &self.lanes[endpoint.lane];
-                match self.gate(now, *id, message, destination.batch, endpoint, lane) {
+                match self.gate(now, *id, message, destination, endpoint, lane) {
                     Err(at) => due = due.min(at),
                     Ok(joins) => {
                         let fee = self.settings.zone_fee.get(endpoint.zone).copied().unwrap_or(0.0);
@@ -859,7 +855,8 @@
     /// The one gate: every send passes it, and it checks the six rules. `Ok(true)` joins a call of this very
     /// moment; `Err` tells when it could open.
     fn gate(
-        &self, now: Micros, id: MessageId, message: &Message, batch: u32, endpoint: &Endpoint, lane: &Lane,
+        &self, now: Micros, id: MessageId, message: &Message, destination: &Destination, endpoint: &Endpoint,
+        lane: &Lane,
     ) -> Result<bool, Micros> {
         // No loss, and no two attempts at once.
         if message.out.is_some()
@@ -868,6 +865,10 @@
         {
             return Err(NEVER);
         }
+        // The senders' budget for repeats.
+        if !destination.may_repeat(now, message, &self.settings) {
+            return Err(NEVER);
+        }
         // No double effect.
         let barred = match (self.settings.classes[message.class].effect, message.risk) {
             (Effect::Safe, _) | (_, None) => false,
@@ -890,7 +891,7 @@
             return Err(until);
         }
         // A batched call is one release, one slot and one turn.
-        if endpoint.joining.is_some_and(|(at, _, n)| at == now && n < batch) {
+        if endpoint.joining.is_some_and(|(at, _, n)| at == now && n < destination.batch) {
             return Ok(true);
         }
         // The pacer, and the budget of a destination that returns.
@@ -991,6 +992,9 @@
                 self.calls_made
             }
         };
+        if message.attempts > 0 {
+            self.destinations.entry(message.destination).and_modify(|place| place.repeats.take());
+        }
         message.out = Some(call_id);
         message.attempts += 1;
         let new = Call { lane: endpoint.lane, begun: now, left: 0, outcome: None, reused, members: vec![] };
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -454,6 +454,11 @@
             Input::Waits(destination, waits) => {
                 self.handle(Event::Waits { destination: DestinationId(destination), waits });
             }
+            Input::Repeats(handed) => self.handle(Event::Repeats {
+                destination: DestinationId(handed.destination),
+                repeats: handed.repeats,
+                waits: handed.waits,
+            }),
             // Nothing rests on one that finds no room: what was answered stays as it is in any case.
             Input::Receipt(receipt, late) => {
                 if let Some(late) = late {
@@ -687,6 +692,11 @@
                         let _ = fleet.send(ToFleet::Want(destination.0, tiers));
                     }
                 }
+                Action::WantRepeats { destination, tiers } => {
+                    if let Some(fleet) = &self.fleet {
+                        let _ = fleet.send(ToFleet::WantRepeats(destination.0, tiers));
+                    }
+                }
                 // The platform's settings permit no probes, and the list is always watched.
                 Action::Probe(_) | Action::Watch => {}
             }
@@ -697,6 +707,9 @@
         let Some(held) = self.held.get_mut(&id) else { return };
         let Some(address) = self.addresses.get(&target).cloned() else { return };
         let attempt = held.attempts;
+        if let Some(fleet) = self.fleet.as_ref().filter(|_| attempt == 0 && self.settings.repeats) {
+            let _ = fleet.send(ToFleet::First(held.exchange.destination));
+        }
         held.attempts += 1;
         held.out = Some((target, self.clock.now()));
         let begun = held.trace.as_mut().map(|trace| {
--- a/src/state.rs
+++ b/src/state.rs
@@ -5,9 +5,21 @@
 use std::collections::{BTreeSet, VecDeque};
 use std::sync::Arc;
 
+use overload::backlog::Backlog;
+use overload::waits::Waits;
+use permits::held::Held;
+use repeats::hand::Hand;
 use serde::{Deserialize, Serialize};
 
+use crate::estimate::AnswerTimes;
 use crate::interface::*;
+use crate::pacing::Pacer;
+
+/// An answer is overdue, and a call timed out, after the mean answer time and so many mean deviations.
+pub(crate) const DEVIATIONS: Micros = 5;
+/// A second in the clock's microseconds.
+pub(crate) const SECOND: f64 = 1e6;
+pub(crate) const NEVER: Micros = Micros::MAX;
 
 /// A destination that failed or refused: an outage, or what may be one, until a success or warm after that.
 #[derive(Clone, Default, Serialize, Deserialize)]
@@ -22,6 +34,48 @@
     pub(crate) hold: Micros,
 }
 
+/// What shares one limit, one wait and one outage: a destination, or a route where routes are apart.
+/// Invariant: nothing starts before `ready_at`.
+#[derive(Clone, Default, Serialize, Deserialize)]
+pub(crate) struct Lane {
+    pub(crate) pacer: Pacer,
+    pub(crate) wait_until: Option<Micros>,
+    pub(crate) trouble: Option<Trouble>,
+    /// Start of the latest call that was answered well outside of a trouble.
+    pub(crate) good: Option<Micros>,
+    /// Calls a second that all senders together may make, as far as told.
+    pub(crate) rate: Option<f64>,
+    /// A report told the limit, and is fresher than the list.
+    pub(crate) reported: bool,
+    pub(crate) out: u32,
+    pub(crate) times: AnswerTimes,
+    /// What a steward permits, who paces all senders together; their own pace counts where none is heard.
+    pub(crate) held: Held,
+    /// What waits here, and how long all of it waits, as its steward said, until then.
+    #[serde(default)]
+    pub(crate) backlog: Backlog,
+    #[serde(default)]
+    pub(crate) waits: (Waits, Micros),
+}
+
+impl Lane {
+    /// The gap between this sender's calls at its part of the rate told, else as lately seen.
+    pub(crate) fn usual_gap(&self, senders: u32) -> Micros {
+        let listed = self.rate.map(|rate| (f64::from(senders) * SECOND / rate) as Micros);
+        listed.or(self.pacer.spacing).unwrap_or(NEVER)
+    }
+
+    /// What a steward said lately of how long all that waits here waits.
+    pub(crate) fn said(&self, now: Micros) -> Option<&Waits> {
+        Some(&self.waits).filter(|(_, until)| now < *until).map(|(waits, _)| waits)
+    }
+
+    /// A call that took so long should have been answered.
+    pub(crate) fn overdue(&self, took: Micros) -> bool {
+        self.times.within(DEVIATIONS).is_some_and(|usual| took > usual)
+    }
+}
+
 /// A destination. Invariant: `queue` holds its messages that are neither out nor ended, in release order.
 #[derive(Clone, Serialize, Deserialize)]
 pub(crate) struct Destination {
@@ -31,6 +85,9 @@
     pub(crate) batch: u32,
     pub(crate) endpoints: BTreeSet<TargetId>,
     pub(crate) queue: BTreeSet<(Rank, MessageId)>,
+    /// Further attempts that the senders' budget lets start.
+    #[serde(default)]
+    pub(crate) repeats: Hand,
 }
 
 /// An endpoint. Invariant: once `stop` is set, nothing new goes there until the list names it in service.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -272,6 +272,7 @@
         cancel: pairs.maybe("Limits.Cancel")?.unwrap_or(false),
         listed_rates: matches!(pairs.get("Weights"), Some("nominal" | "rough")),
         stewards: false,
+        repeats: false,
         shares: false,
         ask_every: if asked { Some(pairs.number("Rules.AskEveryUs")?) } else { None },
         zone_fee: pairs.numbers("Domain.FeeByZone")?,
@@ -473,6 +474,7 @@
             Action::Refuse { id, after: None } => writeln!(out, "SAY_NO {who} {} -", name(id)),
             Action::Fail(id) => writeln!(out, "ERROR {who} {}", name(id)),
             Action::Timer { token, after } => writeln!(out, "SLEEP {who} {token} {after}"),
+            Action::WantRepeats { .. } => Ok(()), // Nor a budget for repeats.
             Action::Want { .. } => Ok(()), // The simulator's wire knows no stewards, and its settings ask none.
             Action::Probe(to) => writeln!(out, "TOUCH {who} {}", target(to)),
             Action::Close(to) => writeln!(out, "RELEASE {who} {}", target(to)),
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -162,3 +162,24 @@
     let error = read("on", "some").expect_err("a fault").to_string();
     assert!(error.starts_with("TULIPFALL_PERMITS") && error.contains("parts"), "{error}");
 }
+
+#[test]
+fn the_budget_for_repeats_is_shared_where_that_is_said_and_nowhere_else() {
+    let mut object: Value = serde_json::from_str(include_str!("config/platform.json")).expect("JSON");
+    object["settings"]["MyNumber"] = 1.into();
+    object["settings"]["Limits"]["Peers"] = true.into();
+    object["peers"] = serde_json::json!(["127.0.0.1:7946", "127.0.0.2:7946"]);
+    let read = |repeats: Option<&'static str>| {
+        Config::read(&object, |name| match name {
+            "PROXY_STATE" => Some("/state".to_string()),
+            "TULIPFALL_REPEATS" => repeats.map(String::from),
+            _ => None,
+        })
+    };
+    for (said, shared) in [(None, false), (Some("off"), false), (Some("shared"), true)] {
+        let config = read(said).expect("sound");
+        assert_eq!((config.settings.repeats, config.fleet.expect("a fleet").repeats), (shared, shared));
+    }
+    let error = read(Some("on")).expect_err("a fault").to_string();
+    assert!(error.starts_with("TULIPFALL_REPEATS") && error.contains("shared or off"), "{error}");
+}
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -9,13 +9,19 @@
 
 /// Plays a scenario with limits shared in that way, and hands all that was seen to `look`.
 fn played<T>(name: &str, permits: &str, text: &str, look: impl FnOnce(&Outcome, &Log) -> T) -> T {
+    played_with(name, &[("TULIPFALL_PERMITS", permits), ("TULIPFALL_NOTES", "on")], text, look)
+}
+
+/// Plays a scenario with these variables.
+fn played_with<T>(
+    name: &str, variables: &[(&str, &str)], text: &str, look: impl FnOnce(&Outcome, &Log) -> T,
+) -> T {
     let scenario = Scenario::read(text).expect("the scenario makes sense");
     let folder: PathBuf =
         Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("fleet-{name}-{}", std::process::id()));
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build().expect("a runtime");
-    let environment =
-        vec![("TULIPFALL_PERMITS".into(), permits.into()), ("TULIPFALL_NOTES".into(), "on".into())];
-    let build = Build { program: env!("CARGO_BIN_EXE_tulipfall").into(), environment };
+    let environment = variables.iter().map(|(key, value)| (key.to_string(), value.to_string())).collect();
+    let build = Build::of(env!("CARGO_BIN_EXE_tulipfall").into(), environment);
     let (outcome, book) = runtime.block_on(play(scenario, 1, &build, &folder)).expect("it plays");
     runtime.shutdown_background();
     let _ = std::fs::remove_dir_all(&folder);
@@ -78,6 +84,31 @@
     assert!(parts <= 2.0, "{parts:.1} refused calls a second with parts, {whole:.1} with whole limits");
 }
 
+/// Six relays and two partners whose limits nobody lists and that fail seven calls of ten, while halves do not hear each other,
+/// one relay is killed and one frozen. Whatever the machine does, further calls are at most a tenth of first ones and one a
+/// second and partner: the bound is on what relays may start, and a slow machine starts fewer.
+#[test]
+fn repeats_of_a_fleet_keep_to_their_budget_while_it_is_cut_and_relays_die() {
+    let scenario = "about = \"x\"\nrelays = 6\nseconds = 10\n[load]\nper_s = 60\ntime_left_ms = 4000\npaid_extra = 0.0\n\
+        [[partner]]\nper_s = 400\ncount = 2\nlisted = false\n\
+        [[fault]]\nfrom_s = 0\nto_s = 10\nkind = \"fails\"\npartners = {start = 0, end = 2}\npart = 0.3\n\
+        [[fault]]\nfrom_s = 2\nto_s = 8\nkind = \"split\"\nparts = [3, 3]\n\
+        [[fault]]\nfrom_s = 3\nto_s = 5\nkind = \"kill\"\nrelays = {start = 1, end = 2}\n\
+        [[fault]]\nfrom_s = 3\nto_s = 6\nkind = \"freeze\"\nrelays = {start = 4, end = 5}\n\
+        [[phase]]\nname = \"all\"\nfrom_s = 0\nto_s = 10\nrepeats = 0.1\n";
+    let repeats = |budget: &str| {
+        played_with(&format!("repeats-{budget}"), &[("TULIPFALL_REPEATS", budget)], scenario, |outcome, _| {
+            assert_eq!(broken(outcome), [] as [&Finding; 0]);
+            outcome.verdict.phases[0].calls_made
+        })
+    };
+    let ([firsts, further], [_, before]) = (repeats("shared"), repeats("off"));
+    let most = firsts / 10 + 2 * 10;
+    println!("{further} further calls for {firsts} first ones, {before} without a budget");
+    assert!(further <= most, "{further} further calls for {firsts} first ones");
+    assert!(further > 0, "a budget is there to be used");
+}
+
 /// Four relays of two zones, of which one may be out, all wished out in the same moment, while one is cut off for a while.
 /// What is asserted is order, not time: who is out when is seen from outside, and how long it all takes is left open but
 /// for an end that a machine many times slower still meets.
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -64,6 +64,7 @@
         keys: Keys::default(),
         bytes_per_s: 4000,
         permits: Some(sharing),
+        repeats: false,
         facts: facts.then_some(FactsSetup { warm: false }),
         turns: None,
         control: None,
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -48,6 +48,7 @@
         cancel: true,
         listed_rates: true,
         stewards: false,
+        repeats: false,
         shares: false,
         ask_every: None,
         zone_fee: vec![0.0, 0.0],
