--- a/crates/permits/src/steward.rs
+++ b/crates/permits/src/steward.rs
@@ -534,15 +534,15 @@
         self.limits.iter().filter_map(queue).collect()
     }
 
-    /// A destination of which this relay is the steward and that asks for all there is: it is out, returns cold, or the
-    /// worthiest that waits for it waits for so long.
+    /// A destination of which this relay is the steward and that is under strain: something waits while it is out or returns
+    /// cold, or messages of some worth wait for so long at the least.
     pub fn strained(&self, now: Micros, long: Micros) -> Option<i64> {
         let strained = |(destination, limit): &(&i64, &Limit)| {
             let asked = limit.asks.values().any(|ask| now - ask.said < WANTS_FOR && !ask.tiers.is_empty());
             let cold = limit.back.is_some_and(|back| now - back < self.cold.warm_after);
             let waits = self.waits(now, **destination, self.fleet.me);
-            let first = waits.levels().first().map_or(0, |(worth, ..)| waits.of(*worth, 0.0));
-            asked && (limit.out || cold) || first >= long
+            let cut = waits.levels().iter().any(|(worth, ..)| waits.of(*worth, 0.0) >= long);
+            asked && (limit.out || cold) || cut
         };
         self.limits.iter().find(strained).map(|(destination, _)| *destination)
     }
--- a/crates/permits/tests/fleet.rs
+++ b/crates/permits/tests/fleet.rs
@@ -584,3 +584,31 @@
         assert!((20..=60).contains(&calls), "{calls} trials in ten seconds");
     }
 }
+
+#[test]
+fn a_steward_sees_strain_where_messages_wait_for_long_or_its_destination_is_out_and_else_none() {
+    let strained = |waiting: u8, fails: bool| {
+        let mut steward =
+            Steward::new(COLD, Shared { sharing: Sharing::Whole, me: 0, relays: 4, follows: false });
+        steward.listed(1, 10.0);
+        let asker = Asker { peer: 2, incarnation: 1, lends: None };
+        let (mut now, mut calls) = (0, 0u16);
+        while now < 6 * SECOND {
+            now += SECOND / 50;
+            steward.want(now, asker, 1, calls, vec![(3000, 1), (1000, waiting)]);
+            for _ in steward.poll(now) {
+                calls += 1;
+                let sign = if fails { Sign::Failed } else { Sign::Well };
+                steward.report(
+                    now,
+                    1,
+                    &Report { sign, began: now - 1000, wait: None, limit: None, left: None },
+                );
+            }
+        }
+        steward.strained(now, SECOND)
+    };
+    assert_eq!(strained(0, false), None, "a charge now and then");
+    assert_eq!(strained(200, false), Some(1), "updates wait for long, charges do not");
+    assert_eq!(strained(0, true), Some(1), "it is out, and something waits");
+}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -48,7 +48,7 @@
 const MOST_FACTS: usize = 4096;
 /// Things told by the runtime that are read between two looks at what is due.
 const BATCH: usize = 64;
-/// Where the worthiest that waits at a steward waits for so long, no relay goes out for work.
+/// Where messages of any worth have to wait for so long at a steward, no relay goes out for work.
 const STRAIN: Micros = 1_000_000;
 /// An operator's line comes whole within this, and is no longer than that.
 const LINE_WITHIN: Duration = Duration::from_secs(2);
