--- a/crates/permits/tests/fleet.rs
+++ b/crates/permits/tests/fleet.rs
@@ -587,7 +587,7 @@
 
 #[test]
 fn a_steward_sees_strain_where_messages_wait_for_long_or_its_destination_is_out_and_else_none() {
-    let strained = |waiting: u8, fails: bool| {
+    let strained = |charges: u8, updates: u8, fails: bool| {
         let mut steward =
             Steward::new(COLD, Shared { sharing: Sharing::Whole, me: 0, relays: 4, follows: false });
         steward.listed(1, 10.0);
@@ -595,7 +595,7 @@
         let (mut now, mut calls) = (0, 0u16);
         while now < 6 * SECOND {
             now += SECOND / 50;
-            steward.want(now, asker, 1, calls, vec![(3000, 1), (1000, waiting)]);
+            steward.want(now, asker, 1, calls, vec![(3000, charges), (1000, updates)]);
             for _ in steward.poll(now) {
                 calls += 1;
                 let sign = if fails { Sign::Failed } else { Sign::Well };
@@ -608,7 +608,7 @@
         }
         steward.strained(now, SECOND)
     };
-    assert_eq!(strained(0, false), None, "a charge now and then");
-    assert_eq!(strained(200, false), Some(1), "updates wait for long, charges do not");
-    assert_eq!(strained(0, true), Some(1), "it is out, and something waits");
+    assert_eq!(strained(1, 0, false), None, "a charge now and then");
+    assert_eq!(strained(60, 50, false), Some(1), "updates wait behind charges");
+    assert_eq!(strained(1, 0, true), Some(1), "it is out, and something waits");
 }
