--- a/src/lib.rs
+++ b/src/lib.rs
@@ -36,6 +36,7 @@
 //!     cancel: true,
 //!     listed_rates: true,
 //!     stewards: false,
+//!     repeats: false,
 //!     shares: false,
 //!     ask_every: None,
 //!     zone_fee: vec![],
