Spare relays without a budget its look-ups; find nearest relays and count tiers once

From one more reading, behaviour as before: with no budget for repeats the module looked every waiting message up and went through all destinations for nothing; stewards and keepers are found by one function (fleet::nearest), tiers are counted by the one of permits, a keeper's look asks once what is busy, and a steward works waits out only where that decides.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -30,7 +30,12 @@
     u32::try_from((now - EPOCH) / (SECOND / 10)).unwrap_or(0)
 }
 
-/// How near a relay stands to a destination: of those that answer, the nearest does what one has to do for all.
+/// Of so many relays the one that does what one has to do for all at a destination: the nearest, the avoided ones last.
+pub fn nearest(destination: i64, relays: Peer, avoided: impl Fn(Peer) -> bool) -> Option<Peer> {
+    (0..relays).max_by_key(|peer| (!avoided(*peer), rendezvous(destination, *peer)))
+}
+
+/// How near a relay stands to a destination.
 pub fn rendezvous(destination: i64, peer: Peer) -> u64 {
     let mixed = (destination as u64).wrapping_mul(0x9E37_79B9_7F4A_7C15) ^ (u64::from(peer) << 20);
     let mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
--- a/crates/permits/src/lib.rs
+++ b/crates/permits/src/lib.rs
@@ -33,7 +33,7 @@
 pub type Tiers = Vec<(u16, u8)>;
 
 /// How many messages wait, of all worths.
-fn waiting(tiers: &Tiers) -> u32 {
+pub fn waiting(tiers: &Tiers) -> u32 {
     tiers.iter().map(|(_, count)| u32::from(*count)).sum()
 }
 
--- a/crates/permits/src/node.rs
+++ b/crates/permits/src/node.rs
@@ -10,7 +10,7 @@
 use fleet::link::{Channel, Out, Said, Sender};
 use fleet::members::Members;
 use fleet::note::{NoteError, Replay, Stamp};
-use fleet::rendezvous;
+use fleet::{nearest, rendezvous};
 use overload::waits::Waits;
 
 use crate::earlier;
@@ -458,8 +458,7 @@
     /// The nearest relay, the avoided ones last.
     fn steward_of(&self, now: Micros, destination: i64) -> Peer {
         let avoided = |peer: Peer| self.avoided.get(&peer).is_some_and(|until| now < *until);
-        let all = 0..self.config.relays;
-        all.max_by_key(|peer| (!avoided(*peer), rendezvous(destination, *peer))).unwrap_or(self.config.me)
+        nearest(destination, self.config.relays, avoided).unwrap_or(self.config.me)
     }
 
     /// Says what is due where the steward that is heard permits the whole.
--- a/crates/permits/src/steward.rs
+++ b/crates/permits/src/steward.rs
@@ -540,9 +540,11 @@
         let strained = |(destination, limit): &(&i64, &Limit)| {
             let asked = limit.asks.values().any(|ask| now - ask.said < WANTS_FOR && !ask.tiers.is_empty());
             let cold = limit.back.is_some_and(|back| now - back < self.cold.warm_after);
-            let waits = self.waits(now, **destination, self.fleet.me);
-            let cut = waits.levels().iter().any(|(worth, ..)| waits.of(*worth, 0.0) >= long);
-            asked && (limit.out || cold) || cut
+            let cut = || {
+                let waits = self.waits(now, **destination, self.fleet.me);
+                waits.levels().iter().any(|(worth, ..)| waits.of(*worth, 0.0) >= long)
+            };
+            asked && (limit.out || cold) || cut()
         };
         self.limits.iter().find(strained).map(|(destination, _)| *destination)
     }
--- a/crates/repeats/src/node.rs
+++ b/crates/repeats/src/node.rs
@@ -8,10 +8,10 @@
 use fleet::frame;
 use fleet::link::{Channel, Said, Sender};
 use fleet::members::Members;
-use fleet::rendezvous;
+use fleet::nearest;
 use overload::backlog::Backlog;
 use overload::waits::Waits;
-use permits::{Tiers, take};
+use permits::{Tiers, take, waiting};
 
 use crate::note::{CHANNEL, Item, MOST_TIERS, read};
 use crate::purse::{Counts, FLOOR, KEPT, Purse, Start, UNIT};
@@ -249,20 +249,19 @@
         std::mem::take(&mut self.handed).into_values().collect()
     }
 
-    /// What could not be handed over: it is asked for again.
+    /// What could not be handed over: it is handed over with the next.
     pub fn not_taken(&mut self, handed: Handed) {
         self.hand(handed.destination, handed.repeats, handed.waits);
     }
 
     /// For operators, by destination.
     pub fn budgets(&self, now: Micros) -> Vec<Budget> {
-        let count = |tiers: &Tiers| tiers.iter().map(|(_, count)| u32::from(*count)).sum::<u32>();
         let budget = |(destination, account): (&i64, &Account)| Budget {
             destination: *destination,
             keeper: self.keeper(now, *destination),
             credits: account.purse.whole(),
             counts: account.purse.counts(),
-            waiting: [count(&account.wants), account.asks.values().map(|ask| count(&ask.tiers)).sum()],
+            waiting: [waiting(&account.wants), account.asks.values().map(|ask| waiting(&ask.tiers)).sum()],
         };
         self.accounts.iter().map(budget).collect()
     }
@@ -270,8 +269,7 @@
     /// The nearest relay, the avoided ones last.
     fn keeper(&self, now: Micros, destination: i64) -> Peer {
         let avoided = |peer: Peer| self.avoided.get(&peer).is_some_and(|until| now < *until);
-        let all = 0..self.config.relays;
-        all.max_by_key(|peer| (!avoided(*peer), rendezvous(destination, *peer))).unwrap_or(self.config.me)
+        nearest(destination, self.config.relays, avoided).unwrap_or(self.config.me)
     }
 
     fn hand(&mut self, destination: i64, repeats: u32, waits: Option<Waits>) {
@@ -499,8 +497,7 @@
         let mut due = std::mem::take(&mut self.changed);
         if now >= self.look_at {
             due.extend(self.accounts.keys());
-            let busy = self.accounts.values().any(|account| account.busy(now));
-            self.look_at = now + if busy { LOOK } else { IDLE };
+            self.look_at = now + IDLE;
         }
         let busy = due.iter().any(|id| self.accounts.get(id).is_some_and(|account| account.busy(now)));
         due.into_iter().for_each(|destination| self.look(now, destination));
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -230,10 +230,10 @@
                 continue;
             }
             let may = if lane.wait_until > Some(now) { 0 } else { free };
-            let ready = |(_, id): &&(Rank, MessageId)| {
-                let message = self.messages.get(id);
-                message.is_some_and(|m| destination.may_repeat(now, m, &self.settings))
+            let may_go = |id: &MessageId| {
+                self.messages.get(id).is_some_and(|m| destination.may_repeat(now, m, &self.settings))
             };
+            let ready = |(_, id): &&(Rank, MessageId)| !self.settings.repeats || may_go(id);
             let beyond = destination.queue.iter().filter(ready).take(may).skip(lane.held.count(now));
             let tiers = permits::tiers(beyond.map(|(rank, _)| rank.0.0));
             if lane.held.want(now, &tiers) {
@@ -244,7 +244,10 @@
 
     /// What waits for a credit of the senders' budget for repeats, beyond those held.
     fn ask_repeats(&mut self, now: Micros, actions: &mut Vec<Action>) {
-        for (id, destination) in self.destinations.iter_mut().filter(|_| self.settings.repeats) {
+        if !self.settings.repeats {
+            return;
+        }
+        for (id, destination) in &mut self.destinations {
             let again = |id: &MessageId| self.messages.get(id).is_some_and(|m| m.attempts > 0);
             let repeats = destination.queue.iter().filter(|(_, id)| again(id));
             let beyond = repeats.skip(destination.repeats.count(now));
