Clear each call once more as its bytes go; a told wait, a drain or an end holds it

Ruled out: the module's gate, which asks the lane's wait before all else; the pool, whose calls went on new connections. At fault: Connections::ask wrote the request as soon as its connection was there (src/net/connections.rs), by a decision that was made before it was opened. A wait told to another call in between, a drain, the end of the window for repeats or of the process did not hold it. A wait in the head of a refusal whose body broke off was lost too.

Now src/net/clearance.rs holds what stands against calls at this moment, for all paths; it is asked before a request's first byte and until its last. A call that may not go ends as not sent. A connection that stayed unused keeps its age.

Tests: tests/crossings.rs forces each crossing by a listener whose queue is full; drained_while_connecting does it through the program. The stand's accept had no deadline and could wait for ever; it has one now.

--- a/src/as2.rs
+++ b/src/as2.rs
@@ -388,7 +388,7 @@
         let waits = partner.asynchronous.then(|| self.wait(partner, &id, &mic));
         let answer = match self
             .connections
-            .ask(&(call.address.clone(), Some(call.target)), &request, progress)
+            .ask(&(call.address.clone(), Some(call.target)), Some(call), || request, progress)
             .await
         {
             Ok(answer) => answer,
@@ -615,7 +615,7 @@
             for _ in 0..RECEIPT_POSTS {
                 let by = clock.instant(clock.now() + RECEIPT_POST);
                 let mut progress = Progress::default();
-                let asked = connections.ask(&place, &post, &mut progress);
+                let asked = connections.ask(&place, None, || post.clone(), &mut progress);
                 let asked = tokio::time::timeout_at(by, asked).await;
                 if matches!(asked, Ok(Ok(answer)) if matches!(answer.start, Start::Response(200..=299))) {
                     return;
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -83,6 +83,10 @@
     pub target: TargetId,
     /// Where it listens, as far as this relay was told.
     pub address: Arc<str>,
+    /// What shares its destination's limit and told waits: the number of the module's lane.
+    pub lane: usize,
+    /// Its bytes go before then or not at all.
+    pub start_by: Micros,
     /// The relay stops waiting then.
     pub deadline: Micros,
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -193,7 +193,20 @@
     },
 }
 
+/// Nothing starts in the last part of a stopping process: the shortest aim over this.
+const STOP_PART_OF_AIM: Micros = 4;
+
 impl Settings {
+    /// The shortest aim of a class.
+    pub fn shortest_aim(&self) -> Micros {
+        self.classes.iter().map(|class| class.aim).min().unwrap_or(1)
+    }
+
+    /// Nothing starts from then on in a process that ends at `until`: it would hardly be answered.
+    pub fn last_start(&self, until: Micros) -> Micros {
+        until - self.shortest_aim() / STOP_PART_OF_AIM
+    }
+
     /// Tells whether the settings make sense.
     ///
     /// # Errors
@@ -326,6 +339,9 @@
     pub left: Option<f64>,
     /// The limit, in calls a second for all senders together; 0 where there is none.
     pub limit: Option<f64>,
+    /// A wait told by an answer that turned the call away and broke off afterwards; it binds all the same.
+    #[serde(default)]
+    pub wait: Option<Micros>,
 }
 
 /// The end of an attempt.
@@ -347,6 +363,13 @@
     pub report: Report,
 }
 
+impl Done {
+    /// The wait that the destination told.
+    pub fn told_wait(&self) -> Option<Micros> {
+        if let Outcome::Full(Some(wait)) = self.outcome { Some(wait) } else { self.report.wait }
+    }
+}
+
 /// What a peer, or an earlier process of this sender, says of a destination.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Hearsay {
@@ -446,6 +469,8 @@
         target: TargetId,
         /// The attempt's time-out.
         timeout: Micros,
+        /// The request goes before then or not at all, by the caller's clock.
+        by: Micros,
     },
     /// Call off an attempt.
     Cancel {
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -1,19 +1,20 @@
 //! The connections to whom the relay calls: endpoints, and AS2 partners for their receipts. Owns the pool of
 //! idle ones, and tells exactly whether a request's last byte was written. It must never send a request twice,
-//! on whatever connection.
+//! on whatever connection, nor a call's bytes while something stands against the call.
 
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
-use futures_util::{SinkExt, StreamExt};
+use futures_util::{FutureExt, SinkExt, StreamExt};
 use record::model::Evidence;
 use tokio::net::TcpStream;
 use tokio_util::codec::Framed;
 
+use super::clearance::Clearance;
 use super::http::{AnswerCodec, HttpError, MOST_BODY, Message, Part};
 use super::quiet;
-use crate::exchange::Clock;
+use crate::exchange::{Clock, OutboundCall};
 use crate::interface::{Micros, Outcome, TargetId};
 
 type Connection = Framed<TcpStream, AnswerCodec>;
@@ -22,7 +23,8 @@
 const MOST_IDLE: usize = 16;
 /// What does not belong to an answer may follow it for so long; until then its connection is not used again.
 const SETTLES: Micros = 2_000;
-/// Where an answer's first line tells all, the rest may take so long before the connection is given up.
+/// Where an answer's first line tells all, or all but a wait, the rest may take so long before the connection is
+/// given up.
 const REST_WITHIN: Micros = 100_000;
 /// An idle connection is retired when this part of its idle life is left.
 const RETIRE_PART: Micros = 10;
@@ -42,6 +44,7 @@
 #[derive(Clone)]
 pub struct Connections {
     clock: Clock,
+    clearance: Clearance,
     connect_within: Micros,
     idle_for: Micros,
     most_idle: Arc<AtomicUsize>,
@@ -59,6 +62,8 @@
     pub opened: bool,
     /// That line tells the outcome; what follows is awaited only for the connection's sake.
     pub first_tells: bool,
+    /// The wait that the head of an answer told which turned the call away.
+    pub wait: Option<Micros>,
     /// A receipt that proves the request processed.
     pub receipt: Option<Evidence>,
 }
@@ -81,47 +86,80 @@
     pub fn new(clock: Clock, connect_within: Micros, idle_limit: Micros, most_idle: usize) -> Self {
         let idle_for = idle_limit - idle_limit / RETIRE_PART;
         let most_idle = Arc::new(AtomicUsize::new(most_idle));
-        Connections { clock, connect_within, idle_for, most_idle, pool: Arc::default() }
+        let clearance = Clearance::new(clock);
+        Connections { clock, clearance, connect_within, idle_for, most_idle, pool: Arc::default() }
     }
 
-    /// Writes a request once, on one connection, and reads the answer; `progress` tells how far both came.
-    /// Whoever drops this in between ends the connection.
+    /// What stands against calls.
+    pub fn clearance(&self) -> &Clearance {
+        &self.clearance
+    }
+
+    /// Writes a request once, on one connection, and reads the answer; `progress` tells how far both came. It is made
+    /// once the connection is there; where it is the request of `call`, not a byte goes while something stands against
+    /// that, and not the last one either. Whoever drops this in between ends the connection.
     ///
     /// # Errors
     /// The outcome, where no whole answer came.
     pub async fn ask(
-        &self, place: &Place, request: &Message, progress: &mut Progress,
+        &self, place: &Place, call: Option<&OutboundCall>, request: impl FnOnce() -> Message,
+        progress: &mut Progress,
     ) -> Result<Message, Outcome> {
-        let mut connection = match self.idle(place).await {
-            Some(connection) => connection,
+        let (mut connection, since) = match self.idle(place).await {
+            Some(idle) => idle,
             None => {
                 progress.opened = true;
                 let by = self.clock.instant(self.clock.now() + self.connect_within);
                 match tokio::time::timeout_at(by, TcpStream::connect(&*place.0)).await {
                     Ok(Ok(stream)) => {
                         let _ = stream.set_nodelay(true);
-                        Framed::new(stream, AnswerCodec::new(MOST_BODY))
+                        (Framed::new(stream, AnswerCodec::new(MOST_BODY)), self.clock.now())
                     }
                     _ => return Err(Outcome::ConnectFailed),
                 }
             }
         };
-        if connection.send(request).await.is_err() && !connection.write_buffer().is_empty() {
+        let withdrawn = async {
+            match call {
+                Some(call) => self.clearance.withdrawn(call).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::pin!(withdrawn);
+        // Guards against what happened while the connection came up, or a wait for one: a wait that another answer
+        // told, a drain, the end of this process, of the message's time or of its window.
+        if withdrawn.as_mut().now_or_never().is_some() {
+            self.keep(place, connection, since);
+            return Err(Outcome::Skipped);
+        }
+        if connection.feed(&request()).await.is_err() {
             return Err(Outcome::ConnectFailed);
         }
-        progress.written = true;
+        // The same while the other side does not read: a request counts from its last byte.
+        let flushed = tokio::select! {
+            biased;
+            () = &mut withdrawn => Err(Outcome::Skipped),
+            flushed = connection.flush() => flushed.map_err(|_| Outcome::ConnectFailed),
+        };
+        match flushed {
+            Err(outcome) if !connection.write_buffer().is_empty() => return Err(outcome),
+            _ => progress.written = true,
+        }
         let mut by = Micros::MAX;
         loop {
             match tokio::time::timeout_at(self.clock.instant(by), connection.next()).await {
                 Ok(Some(Ok(Part::First(status)))) => {
                     progress.first = Some(status);
-                    if progress.first_tells {
+                    if progress.first_tells || status == 429 || status == 503 {
                         by = self.clock.now() + REST_WITHIN;
                     }
                 }
+                Ok(Some(Ok(Part::Head(head)))) => {
+                    progress.wait = full(&head).filter(|_| matches!(progress.first, Some(429 | 503)));
+                }
                 Ok(Some(Ok(Part::Whole(answer)))) => {
                     if answer.keep_alive && connection.read_buffer().is_empty() {
-                        self.keep(place, connection);
+                        self.keep(place, connection, self.clock.now());
                     }
                     return Ok(answer);
                 }
@@ -137,8 +175,9 @@
         }
     }
 
-    /// An idle connection that the other side has not ended and on which nothing is left to read.
-    async fn idle(&self, place: &Place) -> Option<Connection> {
+    /// An idle connection that the other side has not ended and on which nothing is left to read, and since when it
+    /// is idle.
+    async fn idle(&self, place: &Place) -> Option<(Connection, Micros)> {
         loop {
             let (connection, since) = {
                 let mut pool = self.pool.lock().unwrap_or_else(PoisonError::into_inner);
@@ -150,19 +189,19 @@
             // Guards against a call on a connection that the endpoint has closed, which would end as a reset,
             // and against taking what was left on it for the call's answer.
             if self.clock.now() - since < self.idle_for && quiet(connection.get_ref()) {
-                return Some(connection);
+                return Some((connection, since));
             }
         }
     }
 
-    fn keep(&self, place: &Place, connection: Connection) {
+    fn keep(&self, place: &Place, connection: Connection, since: Micros) {
         let mut pool = self.pool.lock().unwrap_or_else(PoisonError::into_inner);
         if pool.count >= self.most_idle.load(Ordering::Relaxed) {
             return;
         }
         let idle = pool.idle.entry(place.clone()).or_default();
         if idle.len() < MOST_IDLE {
-            idle.push((connection, self.clock.now()));
+            idle.push((connection, since));
             pool.count += 1;
         }
     }
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -219,6 +219,15 @@
         Ok(Some(if empty { State::Sized(message, 0) } else { State::UntilEnd(message) }))
     }
 
+    /// The head of the message that is being read, once it is whole.
+    fn head_read(&self) -> Option<&Message> {
+        match &self.state {
+            State::Head => None,
+            State::Sized(head, _) | State::Chunked(head, _) | State::Trailers(head, _) => Some(head),
+            State::UntilEnd(head) => Some(head),
+        }
+    }
+
     fn share(&mut self, bytes: usize) -> Result<(), HttpError> {
         self.share = self.budget.as_ref().map(|budget| budget.share(bytes)).transpose()?;
         Ok(())
@@ -356,6 +365,8 @@
 pub enum Part {
     /// The status of its first line, as soon as that line has come.
     First(u16),
+    /// The first line and the header lines, once all of them have come.
+    Head(Message),
     /// All of it.
     Whole(Message),
 }
@@ -365,12 +376,13 @@
 pub struct AnswerCodec {
     codec: Codec,
     told: bool,
+    headed: bool,
 }
 
 impl AnswerCodec {
     /// Reads answers with bodies of so many bytes at most.
     pub fn new(most_body: usize) -> Self {
-        AnswerCodec { codec: Codec::client(most_body), told: false }
+        AnswerCodec { codec: Codec::client(most_body), told: false, headed: false }
     }
 
     /// The status of the real answer's first line, once it is there.
@@ -413,8 +425,13 @@
             self.told = first.is_some();
             return Ok(first.map(Part::First));
         }
+        if !self.headed {
+            (self.headed, _) = self.codec.step(src, false)?;
+            let head = self.codec.head_read().filter(|_| self.headed).cloned();
+            return Ok(head.map(Part::Head));
+        }
         let whole = read(&mut self.codec, src)?;
-        self.told = whole.is_none();
+        (self.told, self.headed) = (whole.is_none(), whole.is_none());
         Ok(whole.map(Part::Whole))
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The platform's front on sockets: HTTP/1.1 framing, the client's side, the endpoints' side and discovery.
 //! Owns every socket of that front. It must never decide what is sent where, when or again.
 
+pub mod clearance;
 pub mod connections;
 pub mod discovery;
 pub mod door;
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -7,6 +7,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tracing::debug;
 
+use super::clearance::Clearance;
 use super::connections::{Connections, Progress, full};
 use super::http::{Message, Start};
 use super::{Ended, Protocol};
@@ -47,10 +48,17 @@
         };
         let outcome = match outcome {
             _ if progress.delivered() => Outcome::Ok,
+            Outcome::Skipped => Outcome::Skipped,
             // What was not written to its last byte never ran, however it ended.
             _ if !progress.written => Outcome::ConnectFailed,
             outcome => outcome,
         };
+        // Between here and the runtime's hearing of it nothing else is told, so that no call that the module decides on
+        // knowing less finds this wait in its way again and again.
+        if let Some(wait) = progress.wait {
+            self.connections.clearance().wait(call.lane, self.clock.now() + wait);
+        }
+        let report = Report { wait: progress.wait, ..report };
         let (id, attempt, target) = (call.exchange.id.clone(), call.attempt, call.target);
         let destination = call.exchange.destination;
         debug!(
@@ -75,13 +83,17 @@
         }
         // One message a call: a first line with 200 says that it was delivered, whatever follows.
         progress.first_tells = true;
-        let left = (call.deadline - self.clock.now()).max(0) / 1000;
-        let mut request = Message::request("POST", "/v1/messages")
-            .with("Host", &*call.address)
-            .with("X-Correlation-Id", &call.exchange.id)
-            .with("X-Time-Left", format!("{left}m"));
-        request.body = call.exchange.body.clone();
-        match self.connections.ask(&(call.address.clone(), Some(call.target)), &request, progress).await {
+        let request = || {
+            let left = (call.deadline - self.clock.now()).max(0) / 1000;
+            let mut request = Message::request("POST", "/v1/messages")
+                .with("Host", &*call.address)
+                .with("X-Correlation-Id", &call.exchange.id)
+                .with("X-Time-Left", format!("{left}m"));
+            request.body = call.exchange.body.clone();
+            request
+        };
+        let place = (call.address.clone(), Some(call.target));
+        match self.connections.ask(&place, Some(call), request, progress).await {
             Ok(answer) => read(&answer, progress.opened),
             Err(outcome) => (outcome, false, Report::default()),
         }
@@ -99,6 +111,10 @@
         self.connections.close(target);
     }
 
+    fn clearance(&self) -> &Clearance {
+        self.connections.clearance()
+    }
+
     fn expected(&self, exchange: &Exchange) -> Option<Expected> {
         self.beside.as_ref()?.expected(exchange)
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -46,8 +46,6 @@
 const CROWDED_FOR: Micros = 200_000;
 /// With no slot free, a call that later ones overtook may go on for its aim over this.
 const OVERTAKEN_PART_OF_AIM: Micros = 2;
-/// Nothing starts in the last part of a stopping process: the shortest aim over this.
-const STOP_PART_OF_AIM: Micros = 4;
 /// To be answered within its aim a message has to start before the last one in so many parts of it.
 const START_PART_OF_AIM: Micros = 16;
 /// Worth is compared in thousandths.
@@ -214,6 +212,11 @@
         self.wake(now, due, actions);
     }
 
+    /// The lane of an endpoint: what shares one limit and one told wait with it.
+    pub fn lane(&self, target: TargetId) -> Option<usize> {
+        self.endpoints.get(&target).map(|endpoint| endpoint.lane)
+    }
+
     // ---- permits ----
 
     /// What waits beyond the permits held, where one sender's calls tell too late what all do.
@@ -221,7 +224,7 @@
         if !self.settings.stewards {
             return;
         }
-        let gap = ASK_AIMS * self.shortest_aim() / Micros::from(self.settings.senders);
+        let gap = ASK_AIMS * self.settings.shortest_aim() / Micros::from(self.settings.senders);
         let free = (self.settings.slots as usize).saturating_sub(self.calls.len());
         for (id, destination) in self.destinations.iter().filter(|(_, d)| !d.apart) {
             let lane = &mut self.lanes[destination.lane];
@@ -281,7 +284,7 @@
                 endpoint.stop |= !named.contains(target);
             }
         }
-        let shortest_aim = self.shortest_aim();
+        let shortest_aim = self.settings.shortest_aim();
         for entry in entries {
             let kind = self.settings.kinds.get(entry.kind).copied();
             let Kind { apart, batch } = kind.unwrap_or(Kind { apart: false, batch: 1 });
@@ -466,9 +469,7 @@
 
     /// After this a message may not be started any more.
     fn last_start(&self, message: &Message) -> Micros {
-        let due = self
-            .stop_at
-            .map_or(message.due, |at| message.due.min(at - self.shortest_aim() / STOP_PART_OF_AIM));
+        let due = self.stop_at.map_or(message.due, |at| message.due.min(self.settings.last_start(at)));
         match (self.settings.classes[message.class].effect, message.risk) {
             (Effect::Keyed { window, .. }, Some((begun, _))) => due.min(begun + window),
             _ => due,
@@ -549,7 +550,7 @@
         call.left -= 1;
         // A wait binds from the outcome that tells it, also where other messages of the call are still out.
         let Some(endpoint) = self.endpoints.get(&target) else { return };
-        if let Outcome::Full(Some(wait)) = outcome {
+        if let Some(wait) = done.told_wait() {
             let lane = &mut self.lanes[call.lane];
             lane.wait_until = lane.wait_until.max(Some(now + wait));
         }
@@ -586,7 +587,7 @@
     fn learn(&mut self, now: Micros, done: &Done, call_id: u64, call: &Call) {
         let Done { target, outcome, took, report, .. } = *done;
         let outcome = call.outcome.unwrap_or(outcome);
-        let shortest_aim = self.shortest_aim();
+        let shortest_aim = self.settings.shortest_aim();
         let Some(endpoint) = self.endpoints.get_mut(&target) else { return };
         let lane = &mut self.lanes[call.lane];
         endpoint.out = endpoint.out.saturating_sub(1);
@@ -964,6 +965,7 @@
 
     fn send(&mut self, now: Micros, id: MessageId, target: TargetId, actions: &mut Vec<Action>) {
         self.unhold(id);
+        let Some(by) = self.messages.get(&id).map(|message| self.last_start(message)) else { return };
         let Some(message) = self.messages.get_mut(&id) else { return };
         let Some(endpoint) = self.endpoints.get_mut(&target) else { return };
         let Some(batch) = self.destinations.get(&message.destination).map(|d| d.batch) else { return };
@@ -1013,7 +1015,8 @@
             _ => usual.unwrap_or(most).clamp((least / 2).min(most), most),
         };
         let due = message.due.min(self.stop_at.unwrap_or(message.due));
-        actions.push(Action::Send { id, target, timeout: timeout.min(due - now).max(1) });
+        let timeout = timeout.min(due - now).max(1);
+        actions.push(Action::Send { id, target, timeout, by });
     }
 
     /// One pending timer, for the earliest due thing.
@@ -1024,8 +1027,4 @@
             actions.push(Action::Timer { token: self.token, after: (due - now).max(1) });
         }
     }
-
-    fn shortest_aim(&self) -> Micros {
-        self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(1)
-    }
 }
--- a/src/runtime.rs
+++ b/src/runtime.rs
@@ -16,6 +16,7 @@
 use crate::handed::{Handed, HeldNow, LeftOut, Offer, OutNow};
 use crate::input::{Input, Retuned};
 use crate::interface::*;
+use crate::net::clearance::Clearance;
 use crate::net::inbound::Vocabulary;
 use crate::recording::{Outbox, heard};
 use crate::rules::Relay;
@@ -38,6 +39,8 @@
     fn call(&self, call: OutboundCall) -> oneshot::Sender<()>;
     /// Closes the idle connections to an endpoint.
     fn close(&self, target: TargetId);
+    /// What stands against calls whose bytes have not gone yet.
+    fn clearance(&self) -> &Clearance;
     /// The receipt that proves a message, where its destination gives receipts.
     fn expected(&self, exchange: &Exchange) -> Option<Expected>;
 }
@@ -346,6 +349,8 @@
             standby: self.standing.standby(),
         };
         if offer.state.send(Box::new(handed)).is_ok() && offer.accepted.await.is_ok() {
+            // The other one hears what is told from here on: a call that has not gone yet is its to decide anew.
+            self.caller.clearance().stop(self.clock.now());
             return true;
         }
         self.standing.enter(Phase::Serving);
@@ -483,6 +488,7 @@
             Input::Offer(offer) => self.offer = Some(offer),
             Input::Stop(until) => {
                 self.stop = Some((self.clock.now(), until));
+                self.caller.clearance().stop(self.settings.last_start(until));
                 self.handle(Event::Stop(until));
             }
         }
@@ -623,7 +629,12 @@
         }
         let took = self.clock.now() - end.began;
         let CallEnd { attempt, target, outcome, report, .. } = end;
-        self.handle(Event::Done(Done { id, attempt, target, outcome, took, over, report }));
+        let done = Done { id, attempt, target, outcome, took, over, report };
+        // One that another process heard of binds calls here, too.
+        if let (Some(wait), Some(lane)) = (done.told_wait(), self.relay.lane(target)) {
+            self.caller.clearance().wait(lane, now + wait);
+        }
+        self.handle(Event::Done(done));
     }
 
     fn listed(&mut self, form: ListForm, members: Vec<Member>) {
@@ -654,6 +665,9 @@
             read.inspect_err(|error| warn!("destination set: {error}")).ok()
         });
         let entries: Vec<crate::interface::Entry> = read.flatten().collect();
+        for entry in &entries {
+            self.caller.clearance().listed(entry.target, entry.listed == Listed::InService);
+        }
         if let Some(fleet) = &self.fleet {
             let listed = entries.iter().filter(|entry| entry.listed == Listed::InService);
             let listed = listed.map(|entry| (entry.destination.0, entry.rate)).collect();
@@ -663,6 +677,7 @@
         // Endpoints are replaced for as long as the process lives. The module sends nothing to one that is gone,
         // and a call that is out knows its address.
         for target in gone {
+            self.caller.clearance().listed(target, false);
             self.addresses.remove(&target);
             self.names.forget(target);
             self.effects.push(Effect::Close(target));
@@ -679,7 +694,7 @@
         let now = self.clock.now();
         for action in actions {
             match action {
-                Action::Send { id, target, timeout } => self.send(id, target, now + timeout),
+                Action::Send { id, target, timeout, by } => self.send(id, target, (by, now + timeout)),
                 Action::Cancel { id, attempt } => self.effects.push(Effect::CallOff(id, attempt)),
                 Action::Refuse { id, after } => self.end(id, true, after),
                 Action::Fail(id) => self.end(id, false, None),
@@ -703,7 +718,8 @@
         }
     }
 
-    fn send(&mut self, id: MessageId, target: TargetId, deadline: Micros) {
+    fn send(&mut self, id: MessageId, target: TargetId, (start_by, deadline): (Micros, Micros)) {
+        let Some(lane) = self.relay.lane(target) else { return };
         let Some(held) = self.held.get_mut(&id) else { return };
         let Some(address) = self.addresses.get(&target).cloned() else { return };
         let attempt = held.attempts;
@@ -721,7 +737,15 @@
         if !cfg!(feature = "broken-order") {
             self.records.push(Record::Started { id: held.exchange.id.clone(), attempt, begun });
         }
-        let call = OutboundCall { exchange: held.exchange.clone(), attempt, target, address, deadline };
+        let call = OutboundCall {
+            exchange: held.exchange.clone(),
+            attempt,
+            target,
+            address,
+            lane,
+            start_by,
+            deadline,
+        };
         self.effects.push(Effect::Call(id, call));
     }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -466,7 +466,7 @@
         let name = |id: &MessageId| self.open.get(id).map_or("-", |state| state.0.as_str());
         let target = |id: &TargetId| self.target_names.get(id).map_or("-", String::as_str);
         let _ = match action {
-            Action::Send { id, target: to, timeout } => {
+            Action::Send { id, target: to, timeout, .. } => {
                 writeln!(out, "TRY {who} {} {} {timeout}", name(id), target(to))
             }
             Action::Cancel { id, attempt } => writeln!(out, "CANCEL {who} {} {attempt}", name(id)),
--- /dev/null
+++ b/tests/crossings.rs
@@ -0,0 +1,304 @@
+//! What happens if a told wait, a drain, a close or an end comes between a decision and its bytes: each crossing forced
+//! over loopback sockets, by who writes what when. Nothing sleeps; every wait ends at one far deadline.
+
+mod stand;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+
+use stand::FAR;
+use tulipfall::exchange::{CallEnd, Clock, Exchange, OutboundCall};
+use tulipfall::input::Input;
+use tulipfall::interface::{Micros, Outcome, TargetId};
+use tulipfall::net::connections::Connections;
+use tulipfall::net::outbound::Outbound;
+use tulipfall::runtime::Caller;
+
+const S: Micros = 1_000_000;
+const LANE: usize = 3;
+
+async fn soon<T>(what: impl Future<Output = T>) -> T {
+    tokio::time::timeout(FAR, what).await.expect("within the far deadline")
+}
+
+/// An endpoint whose connections come up only once those before them were accepted: its queue holds one.
+struct Endpoint {
+    listener: TcpListener,
+    address: SocketAddr,
+}
+
+impl Endpoint {
+    fn new() -> Self {
+        let socket =
+            socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+        socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).expect("an address");
+        socket.listen(0).expect("listening");
+        socket.set_nonblocking(true).expect("for the event loop");
+        let listener = TcpListener::from_std(socket.into()).expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        Endpoint { listener, address }
+    }
+
+    async fn accept(&self) -> TcpStream {
+        soon(self.listener.accept()).await.expect("a connection").0
+    }
+
+    /// From now on no connection comes up, until this one is accepted.
+    async fn plug(&self) -> TcpStream {
+        soon(TcpStream::connect(self.address)).await.expect("the one place")
+    }
+}
+
+/// The side of the relay that makes calls.
+struct Side {
+    clock: Clock,
+    connections: Connections,
+    outbound: Outbound,
+    inputs: mpsc::Receiver<Input>,
+}
+
+impl Side {
+    fn new() -> Self {
+        let clock = Clock::start();
+        let (to, inputs) = mpsc::channel(16);
+        let connections = Connections::new(clock, 20 * S, 60 * S, 8);
+        let outbound = Outbound::new(clock, to, connections.clone(), None);
+        Side { clock, connections, outbound, inputs }
+    }
+
+    fn call(&self, id: &str, endpoint: &Endpoint) -> OutboundCall {
+        let (now, id) = (self.clock.now(), id.to_string());
+        let (class, body) = ("any".into(), Bytes::from_static(b"body"));
+        let exchange = Exchange { id, class, tenant: None, due: now + 60 * S, destination: 1, body };
+        let (start_by, deadline) = (now + 20 * S, now + 20 * S);
+        let address = endpoint.address.to_string().into();
+        OutboundCall {
+            exchange: Arc::new(exchange),
+            attempt: 0,
+            target: TargetId(7),
+            address,
+            lane: LANE,
+            start_by,
+            deadline,
+        }
+    }
+
+    async fn end(&mut self) -> CallEnd {
+        match soon(self.inputs.recv()).await {
+            Some(Input::Ended(end)) => end,
+            _ => panic!("expected the end of a call"),
+        }
+    }
+
+    /// Nothing of a call went out on this connection, which the relay then closes.
+    async fn unused(&self, mut connection: TcpStream) {
+        self.connections.close(TargetId(7));
+        let mut bytes = Vec::new();
+        soon(connection.read_to_end(&mut bytes)).await.expect("a good end");
+        assert_eq!(String::from_utf8_lossy(&bytes), "", "nothing went out");
+    }
+
+    /// A call whose connection comes up only once `crossing` is over.
+    async fn crossed(&mut self, change: impl FnOnce(&mut OutboundCall), crossing: impl AsyncFnOnce(&Side)) {
+        let endpoint = Endpoint::new();
+        let _plug = endpoint.plug().await;
+        let mut call = self.call("crossed", &endpoint);
+        change(&mut call);
+        let _handle = self.outbound.call(call);
+        crossing(self).await;
+        endpoint.accept().await;
+        let connection = endpoint.accept().await;
+        assert_eq!(self.end().await.outcome, Outcome::Skipped, "it was not sent");
+        self.unused(connection).await;
+    }
+}
+
+/// Reads one request.
+async fn request(connection: &mut TcpStream) -> String {
+    let mut text = Vec::new();
+    while !text.ends_with(b"\r\n\r\nbody") {
+        let read = soon(connection.read_buf(&mut text)).await.expect("more of the request");
+        assert!(read > 0, "a whole request, not {:?}", String::from_utf8_lossy(&text));
+    }
+    String::from_utf8(text).expect("text")
+}
+
+#[tokio::test]
+async fn a_wait_told_to_one_call_holds_another_whose_connection_comes_up_later() {
+    let (mut side, endpoint) = (Side::new(), Endpoint::new());
+    let _first = side.outbound.call(side.call("told", &endpoint));
+    let mut first = endpoint.accept().await;
+    request(&mut first).await;
+    let _plug = endpoint.plug().await;
+    let _second = side.outbound.call(side.call("late", &endpoint));
+    let told = b"HTTP/1.1 429 Wait\r\nRetry-After: 30\r\nContent-Length: 0\r\n\r\n";
+    first.write_all(told).await.expect("written");
+    assert_eq!(side.end().await.outcome, Outcome::Full(Some(30 * S)));
+    endpoint.accept().await;
+    let second = endpoint.accept().await;
+    assert_eq!(side.end().await.outcome, Outcome::Skipped);
+    side.unused(second).await;
+}
+
+#[tokio::test]
+async fn a_wait_told_to_the_destination_elsewhere_holds_a_call_that_is_connecting_and_no_other() {
+    let mut side = Side::new();
+    let wait = async |side: &Side| side.connections.clearance().wait(LANE, side.clock.now() + 30 * S);
+    side.crossed(|_| {}, wait).await;
+    // What does not share the wait goes.
+    let endpoint = Endpoint::new();
+    let call = OutboundCall { lane: LANE + 1, ..side.call("other", &endpoint) };
+    let _handle = side.outbound.call(call);
+    request(&mut endpoint.accept().await).await;
+}
+
+#[tokio::test]
+async fn a_shorter_wait_told_later_does_not_end_a_longer_one() {
+    let mut side = Side::new();
+    let waits = async |side: &Side| {
+        side.connections.clearance().wait(LANE, side.clock.now() + 30 * S);
+        side.connections.clearance().wait(LANE, side.clock.now() + 1);
+    };
+    side.crossed(|_| {}, waits).await;
+}
+
+#[tokio::test]
+async fn a_drain_holds_a_call_that_is_connecting_and_a_return_lets_the_next_go() {
+    let mut side = Side::new();
+    side.crossed(|_| {}, async |side| side.connections.clearance().listed(TargetId(7), false)).await;
+    side.connections.clearance().listed(TargetId(7), true);
+    let endpoint = Endpoint::new();
+    let _handle = side.outbound.call(side.call("again", &endpoint));
+    request(&mut endpoint.accept().await).await;
+}
+
+#[tokio::test]
+async fn a_stop_holds_a_call_that_is_connecting() {
+    let mut side = Side::new();
+    side.crossed(|_| {}, async |side| side.connections.clearance().stop(side.clock.now())).await;
+}
+
+#[tokio::test]
+async fn a_call_whose_last_moment_to_start_passes_while_it_connects_is_not_sent() {
+    let mut side = Side::new();
+    // The window for repeats is over, say, while the answer would still be waited for.
+    side.crossed(|call| call.start_by -= 20 * S - 1, async |_| ()).await;
+}
+
+#[tokio::test]
+async fn a_request_of_which_a_part_has_gone_is_broken_off_before_its_last_byte_once_a_wait_is_told() {
+    let (mut side, endpoint) = (Side::new(), Endpoint::new());
+    let mut call = side.call("long", &endpoint);
+    // More than the system takes for a reader that does not read.
+    let body = Bytes::from(vec![b'x'; 64 << 20]);
+    call.exchange = Arc::new(Exchange { body, ..Exchange::clone(&call.exchange) });
+    let _handle = side.outbound.call(call);
+    let mut connection = endpoint.accept().await;
+    let mut bytes = vec![0];
+    soon(connection.read_exact(&mut bytes)).await.expect("its first byte");
+    side.connections.clearance().wait(LANE, side.clock.now() + 30 * S);
+    assert_eq!(side.end().await.outcome, Outcome::Skipped);
+    let mut rest = Vec::new();
+    let _ = soon(connection.read_to_end(&mut rest)).await;
+    assert!(rest.len() < 64 << 20, "the last byte did not go");
+}
+
+#[tokio::test]
+async fn a_wait_in_the_head_of_an_answer_that_breaks_off_binds() {
+    let (mut side, endpoint) = (Side::new(), Endpoint::new());
+    let _first = side.outbound.call(side.call("told", &endpoint));
+    let mut first = endpoint.accept().await;
+    request(&mut first).await;
+    let cut = b"HTTP/1.1 429 Wait\r\nRetry-After: 30\r\nContent-Length: 9\r\n\r\nhalf";
+    first.write_all(cut).await.expect("written");
+    drop(first);
+    let end = side.end().await;
+    assert_eq!((end.outcome, end.report.wait), (Outcome::Spoilt, Some(30 * S)));
+    let _second = side.outbound.call(side.call("second", &endpoint));
+    assert_eq!(side.end().await.outcome, Outcome::Skipped);
+}
+
+#[tokio::test]
+async fn a_refusal_whose_head_never_ends_is_bounded_long_before_the_deadline() {
+    let (mut side, endpoint) = (Side::new(), Endpoint::new());
+    for first_line in ["HTTP/1.1 503 Full\r\n", "HTTP/1.1 429 Wait\r\nRetry-After: 3"] {
+        let _handle = side.outbound.call(side.call("endless", &endpoint));
+        let mut connection = endpoint.accept().await;
+        request(&mut connection).await;
+        connection.write_all(first_line.as_bytes()).await.expect("written");
+        let (began, end) = (side.clock.now(), side.end().await);
+        assert_eq!((end.outcome, end.report.wait), (Outcome::Spoilt, None), "half a line tells no wait");
+        assert!(side.clock.now() - began < 10 * S, "its deadline is 20 s away");
+    }
+}
+
+#[tokio::test]
+async fn a_connection_that_stayed_unused_is_as_old_as_before() {
+    let mut side = Side::new();
+    // Idle for 200 ms at the most, less a tenth.
+    side.connections = Connections::new(side.clock, 20 * S, S / 5, 8);
+    let (to, inputs) = mpsc::channel(16);
+    (side.outbound, side.inputs) = (Outbound::new(side.clock, to, side.connections.clone(), None), inputs);
+    let endpoint = Endpoint::new();
+    let _first = side.outbound.call(side.call("first", &endpoint));
+    let mut connection = endpoint.accept().await;
+    request(&mut connection).await;
+    connection.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.expect("written");
+    assert_eq!(side.end().await.outcome, Outcome::Ok);
+    side.connections.clearance().wait(LANE, side.clock.now() + 30 * S);
+    // Calls that are held again and again must not keep it young: the endpoint closes it by its own clock.
+    let began = side.clock.now();
+    while side.clock.now() < began + S {
+        let _held = side.outbound.call(side.call("held", &endpoint));
+        if side.end().await.outcome != Outcome::Skipped {
+            break;
+        }
+        side.connections.retire();
+        let mut byte = [0];
+        if matches!(connection.try_read(&mut byte), Ok(0)) {
+            return;
+        }
+    }
+    panic!("the connection outlived its idle life");
+}
+
+#[tokio::test]
+async fn half_a_line_or_a_close_on_a_resting_connection_is_no_answer_to_the_next_call() {
+    for rude in [&b"HTTP/1.1 200 O"[..], b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", b""] {
+        let (mut side, endpoint) = (Side::new(), Endpoint::new());
+        let _first = side.outbound.call(side.call("first", &endpoint));
+        let mut first = endpoint.accept().await;
+        request(&mut first).await;
+        first.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.expect("written");
+        assert_eq!(side.end().await.outcome, Outcome::Ok);
+        first.write_all(rude).await.expect("written");
+        if rude.is_empty() {
+            first.shutdown().await.expect("ended");
+        }
+        let _second = side.outbound.call(side.call("second", &endpoint));
+        let mut second = endpoint.accept().await;
+        assert!(request(&mut second).await.contains("X-Correlation-Id: second"));
+        second.write_all(b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n").await.expect("written");
+        assert_eq!(side.end().await.outcome, Outcome::Full(None));
+    }
+}
+
+#[tokio::test]
+async fn a_reset_after_the_last_byte_may_have_run_and_is_never_sent_again_by_itself() {
+    let (mut side, endpoint) = (Side::new(), Endpoint::new());
+    let _handle = side.outbound.call(side.call("reset", &endpoint));
+    let mut connection = endpoint.accept().await;
+    request(&mut connection).await;
+    let linger = socket2::SockRef::from(&connection).set_linger(Some(Duration::ZERO));
+    linger.expect("a close that resets");
+    drop(connection);
+    let end = side.end().await;
+    assert_eq!(end.outcome, Outcome::Reset);
+    assert!(end.outcome.may_have_run());
+}
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -79,7 +79,7 @@
 }
 
 fn end_of_call(outcome: Outcome, began: i64) -> CallEnd {
-    let report = Report { left: None, limit: Some(40.0) };
+    let report = Report { left: None, limit: Some(40.0), wait: None };
     let (id, evidence) = ("m".into(), Evidence::default());
     CallEnd { id, attempt: 0, target: TargetId(1), outcome, over: false, began, report, evidence }
 }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -145,7 +145,7 @@
     rig.arrive(2, SAFE, 1);
     rig.now += MS;
     let start = rig.now;
-    let report = Report { left: Some(0.0), limit: Some(2.0) };
+    let report = Report { left: Some(0.0), limit: Some(2.0), wait: None };
     rig.event(Event::Done(Done {
         id: MessageId(1),
         attempt: 0,
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -1,7 +1,7 @@
 //! Recorded byte exchanges, played against the program: each file under tests/exchanges/ is a script, and what
 //! the program did is compared with its snapshot. A script's lines:
 //!
-//!     start KEY=VALUE ..      starts the program, with sockets, disk_mb, slots or open_cap as given
+//!     start KEY=VALUE ..      starts the program, with sockets, disk_mb, slots, open_cap or connect_ms as given
 //!     kill | terminate | ends SIGKILL; SIGTERM; waits for its end, which must be a good one
 //!     hangs_up TEXT           replaces the configuration by a faulty text, or by one with options as at a start
 //!                             that names where the agent now is; then SIGHUP
@@ -10,6 +10,7 @@
 //!     client N sends TEXT     raw bytes; \r \n \xNN as written
 //!     client N hears          notes the answer
 //!     endpoint N accepts | hears | answers TEXT | closes    a call's connection, in the order accepted
+//!     endpoint N plugs | unplugs    from one to the other no connection comes up there
 //!     agent hears_watch | answers_watch TEXT | drops_watch | hears_notice     discovery and notices
 //!     agent moves             to another address; what was open at the old one stays silent
 //!
@@ -58,6 +59,7 @@
     clients: HashMap<String, TcpStream>,
     endpoints: Vec<TcpListener>,
     calls: HashMap<String, Vec<TcpStream>>,
+    plug: Option<TcpStream>,
     agent: Agent,
     moved: Vec<Agent>,
     watch: Option<TcpStream>,
@@ -92,7 +94,7 @@
             "HostTypes": ["house"], "Zones": ["a"], "Weights": "nominal", "PeersTotal": 1,
             "Domain": {"MaxCalls": number("slots", 8.0) as i64, "Late": "by_half"},
             "Limits": {"OpenCap": number("open_cap", 200.0) as i64, "MaxAttempts": 12,
-                "ConnectTimeoutUs": 1_000_000, "ConnIdleUs": 15_000_000, "Cancel": true},
+                "ConnectTimeoutUs": number("connect_ms", 1000.0) as i64 * 1000, "ConnIdleUs": 15_000_000, "Cancel": true},
             "Rules": {"ColdFrom": 0.16, "ColdUs": 10_000_000, "FallMultiple": 2.0,
                 "OverloadForUs": 2_000_000, "StopSendingWithinUs": 1_000_000}
         }
@@ -125,6 +127,7 @@
             clients: HashMap::new(),
             endpoints: listeners.collect(),
             calls: HashMap::new(),
+            plug: None,
             agent: Agent::new(),
             moved: vec![],
             watch: None,
@@ -237,6 +240,16 @@
                 self.note(&format!("endpoint {name} hears"), heard);
             }
             ("endpoint", "answers") => self.call(name).write_all(&bytes(rest)).expect("written"),
+            ("endpoint", "plugs") => {
+                let endpoint = &self.endpoints[name.parse::<usize>().expect("a number")];
+                socket2::SockRef::from(endpoint).listen(0).expect("a queue of one");
+                self.plug = Some(connect(&endpoint.local_addr().expect("an address").to_string()));
+            }
+            ("endpoint", "unplugs") => {
+                let endpoint = &self.endpoints[name.parse::<usize>().expect("a number")];
+                socket2::SockRef::from(endpoint).listen(16).expect("a queue");
+                drop((accept(endpoint), self.plug.take()));
+            }
             ("endpoint", "closes") => drop(self.calls.get_mut(name).and_then(Vec::pop)),
             ("agent", _) => self.agent_step(name, &[what, rest].join(" ")),
             _ => panic!("no such step: {line}"),
@@ -260,8 +273,8 @@
             }
             "answers_watch" => {
                 let text = text.trim();
-                let address = self.endpoints[0].local_addr().expect("an address").to_string();
-                let body = text.replace("ADDRESS", &address);
+                let address = |n: usize| self.endpoints[n].local_addr().expect("an address").to_string();
+                let body = text.replace("ADDRESS1", &address(1)).replace("ADDRESS", &address(0));
                 let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
                 let stream = self.watch.as_mut().expect("a watch");
                 stream.write_all(&[head.as_bytes(), body.as_bytes()].concat()).expect("written");
@@ -317,6 +330,7 @@
     spoilt_answers
     replaced
     bad_lengths
+    drained_while_connecting
 }
 
 /// Connections on which nothing or half a request comes hold every place: others are let in all the same, and
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -158,6 +158,8 @@
 
 /// The next connection of a listener.
 pub fn accept(listener: &TcpListener) -> TcpStream {
+    // A listener's deadline for reads is the one for accepting.
+    socket2::SockRef::from(listener).set_read_timeout(Some(FAR)).expect("a deadline");
     let (stream, _) = listener.accept().expect("a connection");
     stream.set_read_timeout(Some(FAR)).expect("a deadline");
     stream
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -77,7 +77,7 @@
     // turns of a cold destination, a second or more apart.
     let next_after = |left: f64| {
         let mut rig = Rig::two();
-        let report = Report { left: Some(left), limit: Some(4.0) };
+        let report = Report { left: Some(left), limit: Some(4.0), wait: None };
         served(&mut rig, 1, 1, 8);
         for id in [20, 21] {
             rig.arrive(id, SAFE, 1);
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -82,7 +82,7 @@
         outcome: Outcome::Full(Some(250_000)),
         took: 18_500,
         over: false,
-        report: Report { left: Some(0.5), limit: Some(7.25) },
+        report: Report { left: Some(0.5), limit: Some(7.25), wait: None },
     };
     assert_eq!(done, Some(Event::Done(expected)));
     assert_eq!(event(&mut names, "ALARM 3 77"), Some(Event::Timer(77)));
@@ -112,7 +112,7 @@
     let mut out = String::new();
     let id = MessageId(1);
     let actions = [
-        Action::Send { id, target: TargetId(0), timeout: 80_000 },
+        Action::Send { id, target: TargetId(0), timeout: 80_000, by: 90_000 },
         Action::Cancel { id, attempt: 0 },
         Action::Timer { token: 77, after: 500_000 },
         Action::Probe(TargetId(0)),
