Bound discovery's pauses by when news counts as told; keep descriptors for calls and the agent

Seen: after failed calls 300 relays asked again after 20 ms times the fleet, doubled four times, up to 144 s; what changes counts as told after 6 s. A silent watch was found out after 22 s. At fault: BackOff::failed and WATCH_MS in src/net/discovery.rs. Now one function says how long a pause may be; the call after a failure does not wait; a watch waits 4 s where lists are pushed by an agent of the relay's own machine, which is asked without regard to the fleet. An agent that answers with nothing at once is asked 20 ms later and not in a spin.

Seen by reading: half of the descriptors went to clients and the rest to calls and files even where calls and files want more than that. Calls now take at most half of what files leave, clients what calls leave, idle connections the rest. The test holds 60 calls in 64 descriptors and failed before.

Seen by reading: a process that ends waited for requests it had read whole and dropped one of which half had come. It waits for that, too, within the same 200 ms.

--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -116,16 +116,20 @@
     let budget = Budget::new(config.limits.memory / MEMORY_READING);
     let front = |front| {
         let (inputs, standing) = (inputs.clone(), standing.clone());
-        let (busy, guests) = (AtomicUsize::new(0), AtomicUsize::new(0));
-        Arc::new(Inbound { clock, front, inputs, budget: budget.clone(), busy, guests, standing })
+        let (reading, busy, guests) = Default::default();
+        Arc::new(Inbound { clock, front, inputs, budget: budget.clone(), reading, busy, guests, standing })
     };
-    // Half of the descriptors for clients, an eighth for AS2 partners. Of the rest, what calls, files and the agent
-    // do not need is for idle connections to endpoints.
-    let (most_clients, most_partners) = (config.limits.sockets / 2, config.limits.sockets / 8);
+    // An eighth of the descriptors for AS2 partners. Of what these, files and the agent leave, calls take half at the most,
+    // clients what calls leave, up to half of all, and idle connections to endpoints the rest: however many clients hold a
+    // place, a call and the agent find a descriptor.
+    let most_partners = config.limits.sockets / 8;
     let partners = if config.as2.is_some() { most_partners } else { 0 };
     let ops = config.ops.map_or(0, |_| door::DESCRIPTORS);
-    let spoken_for = most_clients + partners + config.settings.slots as usize + FILES + ops;
-    let most_idle = config.limits.sockets.saturating_sub(spoken_for);
+    let left = config.limits.sockets.saturating_sub(partners + FILES + ops).max(2);
+    config.settings.slots = config.settings.slots.min(u32::try_from(left / 2).unwrap_or(u32::MAX));
+    let left = left - config.settings.slots as usize;
+    let most_clients = left.min(config.limits.sockets / 2);
+    let most_idle = left - most_clients;
     let clients = Arc::new(AtomicUsize::new(most_clients));
 
     let vocabulary =
@@ -206,8 +210,12 @@
         let (tell, kept, task) = started.map_err(|error| format!("peers: {error}"))?;
         (runtime, said, link) = (runtime.among(tell), kept, Some(task));
     }
-    let mut back_off =
-        discovery::BackOff::new(config.settings.senders, config.seed, config.settings.rules.drain_grace);
+    // Pushed lists are asked of an agent of this machine's own; others cost the one that all relays ask.
+    let (asking, watch) = match config.settings.ask_every {
+        None => (1, discovery::WATCH_PUSHED),
+        Some(_) => (config.settings.senders, discovery::WATCH),
+    };
+    let mut back_off = discovery::BackOff::new(asking, config.seed, config.settings.rules.drain_grace);
     let mut kept = None;
     match told {
         None => runtime.resume(known.map(|known| known.members).unwrap_or_default(), said, replay)?,
@@ -220,7 +228,7 @@
 
     let [asked, told] = addresses(&config);
     let ((ask, asked), (tell, told)) = (watch::channel(asked), watch::channel(told));
-    let follow = tokio::spawn(discovery::follow(clock, asked, revision, back_off, inputs.clone()));
+    let follow = tokio::spawn(discovery::follow(clock, asked, revision, (back_off, watch), inputs.clone()));
     tokio::spawn(discovery::notify(clock, told, owed, inputs.clone()));
     let mut fronts = vec![platform.clone()];
     if let Some((address, as2)) = as2 {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -22,10 +22,18 @@
 
 /// A list may have so many bytes.
 const MOST_LIST: usize = 4 << 20;
-/// How long a watch waits for news.
-const WATCH_MS: i64 = 20_000;
+/// How long a watch waits for news. One that has fallen silent is found out only after that.
+pub const WATCH: Micros = 20_000_000;
+/// The same where an agent on the relay's own machine is pushed the list: asking it costs nothing.
+pub const WATCH_PUSHED: Micros = 4_000_000;
 /// An answer that is so late will not come.
-const SILENCE: Micros = 2_000_000;
+const SILENCE: Micros = 1_000_000;
+/// What discovery has counts as told so long after a call that failed, or after one that fell silent was begun; where
+/// such a call may wait, at least so long after its wait.
+const TOLD_WITHIN: Micros = 6_000_000;
+const TOLD_AFTER_WAIT: Micros = 2_000_000;
+/// Part of that, for the runtime to act on the answer.
+const ACTS_WITHIN: Micros = 500_000;
 /// Discovery is asked about once in so long by all relays together, where it does not answer.
 const PAUSE: Micros = 20_000;
 /// Most doublings of a relay's pause.
@@ -69,15 +77,23 @@
         self.failures = 0;
     }
 
-    /// A call failed; the pause until the next.
-    pub fn failed(&mut self) -> Micros {
+    /// A call failed; the pause until the next, `most` at the longest. However many relays there are, what changes
+    /// counts as told by a time of its own; the pauses stay spread below that.
+    pub fn failed(&mut self, most: Micros) -> Micros {
         let usual = f64::from(self.relays.max(2) << self.failures.min(MOST_DOUBLINGS)) * PAUSE as f64;
         self.failures += 1;
         self.seed = self.seed.wrapping_add(u64::from(self.failures));
-        (usual * (0.5 + draw::unit(self.seed))) as Micros
+        (usual.min(most.max(0) as f64 / 1.5) * (0.5 + draw::unit(self.seed))) as Micros
     }
 }
 
+/// The longest pause after a call that was begun then, might wait so long, and failed by now: by its answer or a break,
+/// or by silence. The next call has to be answered before what changed meanwhile counts as told.
+pub fn longest_pause(now: Micros, began: Micros, wait: Micros, silent: bool) -> Micros {
+    let told = if silent { began + TOLD_WITHIN.max(wait + TOLD_AFTER_WAIT) } else { now + TOLD_WITHIN };
+    (told - SILENCE - ACTS_WITHIN - now).max(0)
+}
+
 /// A list or changes to one, as the agent tells it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Told {
@@ -140,14 +156,14 @@
     tokio::time::timeout_at(clock.instant(by), answer).await.ok().flatten()
 }
 
-/// Follows the list from `revision` on, at whatever address is the newest.
+/// Follows the list from `revision` on, at whatever address is the newest, by watches that wait so long.
 pub async fn follow(
-    clock: Clock, mut address: Address, held: Arc<AtomicI64>, mut back_off: BackOff,
+    clock: Clock, mut address: Address, held: Arc<AtomicI64>, (mut back_off, watch): (BackOff, Micros),
     inputs: mpsc::Sender<Input>,
 ) {
     let mut kept = None;
     pause(clock, &mut address, back_off.start()).await;
-    let mut gap = false;
+    let (mut gap, mut failing) = (false, false);
     let mut revision = held.load(Ordering::Relaxed);
     loop {
         let Some(at) = address.borrow_and_update().clone() else {
@@ -156,14 +172,16 @@
             }
             continue;
         };
+        // A whole list comes at once or, while discovery is down, not at all: it is then asked for anew. So does what
+        // was missed, after a call that failed.
+        let wait = if gap || failing { 0 } else { watch };
         let path = match gap {
             true => "/registry/instances".to_string(),
-            false => format!("/registry/instances?index={revision}&wait={WATCH_MS}"),
+            false => format!("/registry/instances?index={revision}&wait={}", wait / 1000),
         };
         let request = Message::request("GET", &path).with("Host", &*at);
-        // A whole list comes at once or, while discovery is down, not at all: it is then asked for anew.
-        let wait = if gap { 0 } else { WATCH_MS * 1000 };
-        let by = clock.now() + wait + SILENCE;
+        let began = clock.now();
+        let by = began + wait + SILENCE;
         let answer = tokio::select! {
             answer = ask(clock, &at, &mut kept, &request, by) => answer,
             // What the old address had left to tell, the new one tells with the whole list.
@@ -178,8 +196,12 @@
         match read.map(|value| value.and_then(|value| told(&value))) {
             Some(Ok(told)) => {
                 back_off.answered();
+                (gap, failing) = (false, false);
+                // Guards against a spin where an agent does not wait before it tells nothing.
+                if wait > 0 && told.members.is_empty() && clock.now() < began + PAUSE {
+                    pause(clock, &mut address, PAUSE).await;
+                }
                 // A whole list that is older than what is held tells nothing new.
-                gap = false;
                 if told.revision < revision {
                     continue;
                 }
@@ -198,8 +220,10 @@
                     warn!("discovery: {why}");
                 }
                 // The version held says what was missed; a whole list of every relay is what overbooks discovery.
-                kept = None;
-                pause(clock, &mut address, back_off.failed()).await;
+                (kept, failing) = (None, true);
+                let now = clock.now();
+                let most = longest_pause(now, began, wait, now >= by);
+                pause(clock, &mut address, back_off.failed(most)).await;
             }
         }
     }
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -81,6 +81,8 @@
     pub inputs: mpsc::Sender<Input>,
     /// Memory for bodies that are being read.
     pub budget: Arc<Budget>,
+    /// Requests of which the first byte came and the last did not yet.
+    pub reading: AtomicUsize,
     /// Requests that were read and not answered yet.
     pub busy: AtomicUsize,
     /// Connections that are open.
@@ -234,10 +236,11 @@
         self.busy.load(Ordering::Relaxed)
     }
 
-    /// Waits until every request that was read has its answer, or until `by`. It guards the answers against
-    /// the end of the process.
+    /// Waits until every request that was read, or of which a part was, has its answer, or until `by`. It guards the
+    /// answers against the end of the process.
     pub async fn answered(&self, by: Micros) {
-        while self.busy.load(Ordering::Relaxed) > 0 && self.clock.now() < by {
+        let open = || self.reading.load(Ordering::Relaxed) + self.busy.load(Ordering::Relaxed);
+        while open() > 0 && self.clock.now() < by {
             tokio::time::sleep_until(self.clock.instant(self.clock.now() + 1000)).await;
         }
     }
@@ -283,12 +286,14 @@
         }
         place.at(Stage::Reading);
         let by = first_by.take().unwrap_or(clock.now() + within);
+        inbound.reading.fetch_add(1, Ordering::Relaxed);
         let next = tokio::select! {
             biased;
             next = framed.next() => next,
-            () = place.wanted() => return,
+            () = place.wanted() => None,
             () = tokio::time::sleep_until(clock.instant(by)) => Some(Err(HttpError::Late)),
         };
+        inbound.reading.fetch_sub(1, Ordering::Relaxed);
         let (mut answer, taken) = match next {
             None | Some(Err(HttpError::Io(_))) => return,
             Some(Err(error)) => {
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -5,20 +5,24 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot, watch};
 
 use stand::FAR;
-use tulipfall::exchange::{CallEnd, Clock, Exchange, OutboundCall};
+use tulipfall::exchange::{Answer, CallEnd, Clock, Exchange, OutboundCall};
 use tulipfall::input::Input;
 use tulipfall::interface::{Micros, Outcome, TargetId};
 use tulipfall::net::connections::Connections;
+use tulipfall::net::http::Budget;
+use tulipfall::net::inbound::{Front, Inbound, Vocabulary, serve};
 use tulipfall::net::outbound::Outbound;
 use tulipfall::runtime::Caller;
+use tulipfall::standing::{Phase, Standing};
 
 const S: Micros = 1_000_000;
 const LANE: usize = 3;
@@ -302,3 +306,129 @@
     assert_eq!(end.outcome, Outcome::Reset);
     assert!(end.outcome.may_have_run());
 }
+
+/// The client's side of a relay whose runtime is played by the test.
+struct Door {
+    inbound: Arc<Inbound>,
+    address: SocketAddr,
+    inputs: mpsc::Receiver<Input>,
+}
+
+impl Door {
+    async fn open() -> Self {
+        let (clock, (to, inputs)) = (Clock::start(), mpsc::channel(16));
+        let names = Vocabulary { classes: vec!["any".into()], tenants: vec![] };
+        let (reading, busy, guests) = Default::default();
+        let standing = Arc::new(Standing::starting(clock));
+        let (front, budget) = (Front::Platform(watch::channel(names).1), Budget::new(1 << 20));
+        let inbound = Arc::new(Inbound { clock, front, inputs: to, budget, reading, busy, guests, standing });
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a socket");
+        let address = listener.local_addr().expect("an address");
+        tokio::spawn(serve(listener, inbound.clone(), Arc::new(8.into())));
+        Door { inbound, address, inputs }
+    }
+
+    async fn connect(&self) -> TcpStream {
+        soon(TcpStream::connect(self.address)).await.expect("a connection")
+    }
+
+    /// Comes once the door has begun to read a request.
+    async fn reads(&self) {
+        soon(async {
+            while self.inbound.reading.load(Ordering::Relaxed) == 0 {
+                tokio::task::yield_now().await;
+            }
+        })
+        .await;
+    }
+
+    /// The next message that reaches the runtime.
+    async fn handed(&mut self) -> oneshot::Sender<Answer> {
+        match soon(self.inputs.recv()).await {
+            Some(Input::Handed(_, _, reply)) => reply,
+            _ => panic!("expected a message"),
+        }
+    }
+}
+
+const HANDED_IN: &str = "POST /any HTTP/1.1\r\nX-Correlation-Id: m-1\r\nX-Time-Left: 900m\r\nX-Addressing: dest=1\r\n\
+    Content-Length: 4\r\n\r\nbody";
+
+/// All that comes until the connection ends.
+async fn rest(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    soon(stream.read_to_end(&mut bytes)).await.expect("a good end, no reset");
+    String::from_utf8(bytes).expect("text")
+}
+
+#[tokio::test]
+async fn a_request_of_which_half_came_before_the_runtimes_end_is_answered_whole() {
+    let mut door = Door::open().await;
+    let mut stream = door.connect().await;
+    let (first, second) = HANDED_IN.split_at(40);
+    stream.write_all(first.as_bytes()).await.expect("written");
+    door.reads().await;
+    // The runtime ends, and the process waits for its answers before it does.
+    door.inbound.standing.enter(Phase::Stopping);
+    door.inputs.close();
+    let inbound = door.inbound.clone();
+    let answered = tokio::spawn(async move { inbound.answered(inbound.clock.now() + 20 * S).await });
+    tokio::task::yield_now().await;
+    assert!(!answered.is_finished(), "half a request is waited for");
+    stream.write_all(second.as_bytes()).await.expect("written");
+    let answer = rest(&mut stream).await;
+    assert!(answer.starts_with("HTTP/1.1 503 ") && answer.contains("Connection: close"), "{answer}");
+    soon(answered).await.expect("its end");
+}
+
+#[tokio::test]
+async fn after_a_stop_a_kept_connection_is_answered_once_more_and_what_follows_is_not_taken() {
+    let mut door = Door::open().await;
+    let mut stream = door.connect().await;
+    stream.write_all(HANDED_IN.as_bytes()).await.expect("written");
+    door.handed().await.send(Answer::Taken).expect("heard");
+    let mut answer = vec![0; 12];
+    soon(stream.read_exact(&mut answer)).await.expect("an answer");
+    assert_eq!(answer, b"HTTP/1.1 202");
+    door.inbound.standing.enter(Phase::Stopping);
+    // On the resting connection, together with the next one, which crosses the close.
+    stream.write_all(HANDED_IN.replace("m-1", "m-2").repeat(2).as_bytes()).await.expect("written");
+    door.handed().await.send(Answer::Taken).expect("heard");
+    let answers = rest(&mut stream).await;
+    assert_eq!(answers.matches("HTTP/1.1 ").count(), 1, "one answer, then the end: {answers}");
+    assert!(door.inputs.try_recv().is_err(), "what came after the last answer is nobody's");
+}
+
+#[tokio::test]
+async fn a_client_that_leaves_between_its_last_byte_and_the_answer_withdraws_its_message() {
+    let mut door = Door::open().await;
+    let mut stream = door.connect().await;
+    stream.write_all(HANDED_IN.as_bytes()).await.expect("written");
+    let reply = door.handed().await;
+    socket2::SockRef::from(&stream).set_linger(Some(Duration::ZERO)).expect("a close that resets");
+    drop(stream);
+    // The reset has come once a later connection to the same door is served.
+    let mut other = door.connect().await;
+    other.write_all(HANDED_IN.replace("m-1", "m-2").as_bytes()).await.expect("written");
+    let second = door.handed().await;
+    reply.send(Answer::Taken).expect("heard");
+    let Some(Input::Withdrawn(id)) = soon(door.inputs.recv()).await else { panic!("a withdrawal") };
+    assert_eq!(id, "m-1");
+    second.send(Answer::Taken).expect("heard");
+    other.shutdown().await.expect("half closed");
+    assert!(
+        rest(&mut other).await.starts_with("HTTP/1.1 202 "),
+        "one that ends its sending hears its answer"
+    );
+}
+
+#[tokio::test]
+async fn an_answer_arrives_though_bytes_come_as_the_connection_closes() {
+    let door = Door::open().await;
+    let mut stream = door.connect().await;
+    // Half a megabyte behind a head that cannot be read.
+    let flood = ["NO REQUEST AT ALL\r\n\r\n", &"x".repeat(512 * 1024)].concat();
+    stream.write_all(flood.as_bytes()).await.expect("written, not reset");
+    let answer = rest(&mut stream).await;
+    assert!(answer.starts_with("HTTP/1.1 400 "), "{answer}");
+}
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -367,6 +367,25 @@
     }
 }
 
+/// Calls that hang at both endpoints and clients that say nothing: the program stays within its descriptors, and goes on
+/// hearing clients and its agent.
+#[test]
+fn idle_clients_that_hold_every_place_leave_descriptors_for_calls_and_discovery() {
+    let mut play = Play::new("descriptors");
+    play.step("start sockets=64 slots=60");
+    for i in 0..60 {
+        let message = handed_in("status-update", &format!("m-{i}"), i % 2, 16_000, b"hangs");
+        assert_eq!(ask(play.client("a"), &message).expect("an answer").status(), 202);
+    }
+    let calls: Vec<TcpStream> = (0..20).map(|i| accept(&play.endpoints[i % 2])).collect();
+    let silent: Vec<TcpStream> = (0..60).map(|_| connect(&play.listen)).collect();
+    let message = handed_in("status-update", "m-60", 0, 16_000, b"let in");
+    assert_eq!(ask(&mut connect(&play.listen), &message).expect("an answer").status(), 202);
+    let held = play.program.as_ref().expect("a program").descriptors();
+    assert!(held <= 64, "{held} of 64, with {} calls and {} clients", calls.len(), silent.len());
+    play.step("agent hears_watch");
+}
+
 /// A body far over the limit: the answer arrives though most of the body was still to come.
 #[test]
 fn the_answer_to_an_endless_body_arrives() {
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -50,6 +50,11 @@
         Program::launch(command)
     }
 
+    /// How many descriptors it holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("its descriptors").count()
+    }
+
     fn launch(mut command: Command) -> Self {
         let mut child = command.stderr(Stdio::piped()).spawn().expect("the program starts");
         let lines = BufReader::new(child.stderr.take().expect("its log")).lines();
