--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -182,6 +182,20 @@
     request(&mut endpoint.accept().await).await;
 }
 
+#[tokio::test]
+async fn a_connection_on_which_nothing_went_carries_the_next_call() {
+    let (mut side, endpoint) = (Side::new(), Endpoint::new());
+    let _plug = endpoint.plug().await;
+    let _held = side.outbound.call(side.call("held", &endpoint));
+    side.connections.clearance().listed(TargetId(7), false);
+    endpoint.accept().await;
+    let mut connection = endpoint.accept().await;
+    assert_eq!(side.end().await.outcome, Outcome::Skipped);
+    side.connections.clearance().listed(TargetId(7), true);
+    let _next = side.outbound.call(side.call("next", &endpoint));
+    assert!(request(&mut connection).await.contains("X-Correlation-Id: next"));
+}
+
 #[tokio::test]
 async fn a_stop_holds_a_call_that_is_connecting() {
     let mut side = Side::new();
--- a/tests/recovery.rs
+++ b/tests/recovery.rs
@@ -126,12 +126,19 @@
     let mut rig = Rig::listed(Settings { senders: 240, ..settings() });
     rig.arrive(1, SAFE, 1);
     rig.done(1, 1, Outcome::Ok);
-    rig.now += 40 * S;
-    rig.arrive(2, SAFE, 1);
-    rig.now += 200 * MS;
-    assert_eq!(ended(&rig.done(2, 1, Outcome::Full(None))), [(2, true)], "it gets no turn in time");
-    assert_eq!(ended(&resumed(&mut rig, 3, SAFE, 1, false)), [(3, true)], "nor does what was tried before");
-    assert_eq!(ended(&resumed(&mut rig, 4, SAFE, 0, false)), []);
-    let passed = only(rig.pass(5 * S - 1));
-    assert_eq!(ended(&passed), [], "it waits as long as it may");
+    rig.now += 70 * S;
+    for id in [2, 3] {
+        assert_eq!(sent(&rig.arrive(id, SAFE, 1)), [id]);
+        rig.now += 500 * MS;
+        rig.done(id, 1, Outcome::Full(None));
+        rig.pass(S);
+    }
+    assert_eq!(
+        ended(&resumed(&mut rig, 4, SAFE, 1, false)),
+        [(4, true)],
+        "one that was tried gets no turn in time"
+    );
+    assert_eq!(ended(&resumed(&mut rig, 5, SAFE, 0, false)), []);
+    assert_eq!(ended(&only(rig.pass(5 * S - 1))), [], "it waits as long as it may");
+    assert_eq!(ended(&only(rig.pass(1))), [(5, true)]);
 }
