--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -63,6 +63,13 @@
     assert!(calls <= 400, "{calls} calls for 100 lists");
 }
 
+#[test]
+fn three_hundred_that_pause_no_longer_than_news_may_take_are_all_answered_in_the_end() {
+    let (calls, lists) = asked(300, 60 * S);
+    assert_eq!(lists, 300, "each relay has its list after 60 s");
+    assert!(calls <= 2400, "{calls} calls for 300 lists");
+}
+
 #[test]
 fn a_few_relays_ask_again_as_soon_as_before() {
     for seed in 0..50 {
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -331,6 +331,7 @@
     replaced
     bad_lengths
     drained_while_connecting
+    told_to_end_then_killed
 }
 
 /// Connections on which nothing or half a request comes hold every place: others are let in all the same, and
