--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -14,6 +14,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use stand::FAR;
+use tulipfall::config::Config;
 use tulipfall::exchange::{Answer, CallEnd, Clock, Exchange, OutboundCall};
 use tulipfall::input::Input;
 use tulipfall::interface::{Micros, Outcome, TargetId};
@@ -21,8 +22,10 @@
 use tulipfall::net::http::Budget;
 use tulipfall::net::inbound::{Front, Inbound, Vocabulary, serve};
 use tulipfall::net::outbound::Outbound;
-use tulipfall::runtime::Caller;
+use tulipfall::rules::Relay;
+use tulipfall::runtime::{Caller, Runtime};
 use tulipfall::standing::{Phase, Standing};
+use tulipfall::store::Journal;
 
 const S: Micros = 1_000_000;
 const LANE: usize = 3;
@@ -202,6 +205,39 @@
     side.crossed(|_| {}, async |side| side.connections.clearance().stop(side.clock.now())).await;
 }
 
+#[tokio::test]
+async fn the_runtime_tells_of_a_stop_before_its_last_start_comes() {
+    let (mut side, endpoint, folder) = (Side::new(), Endpoint::new(), stand::folder("stop"));
+    let (file, state) = (folder.join("config.json"), folder.join("state"));
+    let text = stand::site::configuration(&[endpoint.address.to_string()]).to_string();
+    std::fs::write(&file, text).expect("a file");
+    let variable = |name: &str| match name {
+        "PROXY_CONFIG" => Some(file.display().to_string()),
+        "PROXY_STATE" => Some(state.display().to_string()),
+        _ => None,
+    };
+    let config = Config::load(variable).expect("a configuration");
+    let (mut journal, _) = Journal::open(&config.state, config.journal_room()).expect("a journal");
+    let (replay, (notices, _owed)) = (journal.replay(), mpsc::unbounded_channel());
+    let module = Relay::new(config.settings.clone(), 1).expect("sound");
+    let (settings, caller) = (config.settings.clone(), Box::new(side.outbound.clone()));
+    let relay = (module, settings);
+    let mut runtime =
+        Runtime::new(side.clock, relay, config.names.clone(), (8, 1 << 20), journal, caller, notices);
+    let known = config.known.map(|known| known.members).unwrap_or_default();
+    runtime.resume(known, vec![], replay).expect("stored");
+    let call = side.call("late", &endpoint);
+    assert!(side.connections.clearance().allows(&call));
+    let (inputs, received) = mpsc::channel(4);
+    inputs.send(Input::Stop(side.clock.now() + 1)).await.expect("heard");
+    soon(runtime.run(received)).await.expect("a good end");
+    assert!(!side.connections.clearance().allows(&call), "nothing starts in a process that ends");
+    let _handle = side.outbound.call(call);
+    let connection = endpoint.accept().await;
+    assert_eq!(side.end().await.outcome, Outcome::Skipped);
+    side.unused(connection).await;
+}
+
 #[tokio::test]
 async fn a_call_whose_last_moment_to_start_passes_while_it_connects_is_not_sent() {
     let mut side = Side::new();
