--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -217,7 +217,7 @@
         _ => None,
     };
     let config = Config::load(variable).expect("a configuration");
-    let (mut journal, _) = Journal::open(&config.state, config.journal_room()).expect("a journal");
+    let (journal, _) = Journal::open(&config.state, config.journal_room()).expect("a journal");
     let (replay, (notices, _owed)) = (journal.replay(), mpsc::unbounded_channel());
     let module = Relay::new(config.settings.clone(), 1).expect("sound");
     let (settings, caller) = (config.settings.clone(), Box::new(side.outbound.clone()));
