Share the first served call of two crossings, and how long connections rest there

From one more reading, behaviour and assertions as before: two tests wrote the same first exchange, and one built the side that calls a second time for another idle life.

--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -72,9 +72,14 @@
 
 impl Side {
     fn new() -> Self {
+        Side::with_idle(60 * S)
+    }
+
+    /// Connections rest for so long at the most, less a tenth.
+    fn with_idle(limit: Micros) -> Self {
         let clock = Clock::start();
         let (to, inputs) = mpsc::channel(16);
-        let connections = Connections::new(clock, 20 * S, 60 * S, 8);
+        let connections = Connections::new(clock, 20 * S, limit, 8);
         let outbound = Outbound::new(clock, to, connections.clone(), None);
         Side { clock, connections, outbound, inputs }
     }
@@ -103,6 +108,16 @@
         }
     }
 
+    /// A first call is answered well; its connection, on which the relay rests then.
+    async fn served(&mut self, endpoint: &Endpoint) -> TcpStream {
+        let _handle = self.outbound.call(self.call("first", endpoint));
+        let mut connection = endpoint.accept().await;
+        request(&mut connection).await;
+        connection.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.expect("written");
+        assert_eq!(self.end().await.outcome, Outcome::Ok);
+        connection
+    }
+
     /// Nothing of a call went out on this connection, which the relay then closes.
     async fn unused(&self, mut connection: TcpStream) {
         self.connections.close(TargetId(7));
@@ -296,17 +311,8 @@
 
 #[tokio::test]
 async fn a_connection_that_stayed_unused_is_as_old_as_before() {
-    let mut side = Side::new();
-    // Idle for 200 ms at the most, less a tenth.
-    side.connections = Connections::new(side.clock, 20 * S, S / 5, 8);
-    let (to, inputs) = mpsc::channel(16);
-    (side.outbound, side.inputs) = (Outbound::new(side.clock, to, side.connections.clone(), None), inputs);
-    let endpoint = Endpoint::new();
-    let _first = side.outbound.call(side.call("first", &endpoint));
-    let mut connection = endpoint.accept().await;
-    request(&mut connection).await;
-    connection.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.expect("written");
-    assert_eq!(side.end().await.outcome, Outcome::Ok);
+    let (mut side, endpoint) = (Side::with_idle(S / 5), Endpoint::new());
+    let connection = side.served(&endpoint).await;
     side.connections.clearance().wait(LANE, side.clock.now() + 30 * S);
     // Calls that are held again and again must not keep it young: the endpoint closes it by its own clock.
     let began = side.clock.now();
@@ -328,11 +334,7 @@
 async fn half_a_line_or_a_close_on_a_resting_connection_is_no_answer_to_the_next_call() {
     for rude in [&b"HTTP/1.1 200 O"[..], b"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", b""] {
         let (mut side, endpoint) = (Side::new(), Endpoint::new());
-        let _first = side.outbound.call(side.call("first", &endpoint));
-        let mut first = endpoint.accept().await;
-        request(&mut first).await;
-        first.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").await.expect("written");
-        assert_eq!(side.end().await.outcome, Outcome::Ok);
+        let mut first = side.served(&endpoint).await;
         first.write_all(rude).await.expect("written");
         if rude.is_empty() {
             first.shutdown().await.expect("ended");
