Lay out the packages of the scale harness and of the replicated destination set

The next size needs a harness that measures and a mechanism that brings a change of the destination set to every relay.

--- /dev/null
+++ b/crates/destinations/src/lib.rs
@@ -0,0 +1,2 @@
+//! Placeholder of the crate `destinations`; its modules follow.
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/scale/src/lib.rs
@@ -0,0 +1,4 @@
+//! Placeholder of the crate `scale`; its modules follow.
+#![forbid(unsafe_code)]
+
+pub mod measurement;
