--- a/crates/proofs/src/lib.rs
+++ b/crates/proofs/src/lib.rs
@@ -3,6 +3,7 @@
 //! what a partner did.
 #![forbid(unsafe_code)]
 
+pub mod backlog;
 pub mod load;
 pub mod partner;
 pub mod record;
--- a/crates/proofs/src/main.rs
+++ b/crates/proofs/src/main.rs
@@ -73,6 +73,18 @@
         #[arg(long, default_value = "target/proofs/warm-start")]
         folder: PathBuf,
     },
+    /// Fills the relay's journal with messages that are held, and prints what each costs: disk, memory, a write, a replay
+    Backlog {
+        /// Messages held
+        #[arg(long, default_value_t = 100_000)]
+        messages: u64,
+        /// Bytes of each body
+        #[arg(long, default_value_t = 300)]
+        body: usize,
+        /// The journal's folder, which is removed before and after
+        #[arg(long, default_value = "target/proofs/backlog")]
+        folder: PathBuf,
+    },
     /// Fills a record in SQLite and times questions to it
     Query {
         /// Messages in it
@@ -127,6 +139,11 @@
             println!("{counted}");
             Ok(counted.good())
         }
+        Command::Backlog { messages, body, folder } => {
+            let cost = proofs::backlog::run(&proofs::backlog::Run { messages, body, folder })?;
+            println!("{}", serde_json::to_string(&cost)?);
+            Ok(true)
+        }
         Command::Query { rows, file } => {
             if let Some(folder) = file.parent() {
                 std::fs::create_dir_all(folder)?;
