Hold the destinations as a replicated set of signed, numbered changes

A set that is to be the same on every relay needs changes that are taken on whole or not at all, and a way to catch up.

--- /dev/null
+++ b/crates/destinations/src/bucket.rs
@@ -0,0 +1,138 @@
+//! The buckets into which a set is split: the unit of digests and of snapshots.
+
+use std::collections::BTreeMap;
+
+use thiserror::Error;
+
+pub use crate::codec::CodecError;
+use crate::codec::{Reader, put_destination};
+use crate::stored::{Placements, StoredDestination};
+use crate::{DestinationChange, DestinationId, Endpoint};
+
+/// The number of buckets of a set.
+pub const BUCKETS: usize = 1024;
+
+/// The most canonical bytes of one bucket. With it a set is bounded to 64 MiB of canonical bytes.
+pub const MAX_BUCKET_BYTES: usize = 64 * 1024;
+
+/// The bucket a destination is in: the top bits of its id after the finalizer of SplitMix64 (Steele, Lea and
+/// Flood 2014), so that ids given out in a row spread over all buckets.
+pub fn bucket_of(id: DestinationId) -> u16 {
+    let mut hash = id.0 as u64;
+    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^= hash >> 31;
+    (hash >> (u64::BITS - BUCKETS.ilog2())) as u16
+}
+
+/// The endpoints that some destinations shall have, by ascending id; none stands for removal.
+pub(crate) type Replacements = BTreeMap<DestinationId, Vec<Endpoint>>;
+
+/// The destinations of one bucket, by ascending id.
+#[derive(Debug, Default)]
+pub(crate) struct Bucket(Vec<StoredDestination>);
+
+impl Bucket {
+    pub(crate) fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    pub(crate) fn iter(&self) -> std::slice::Iter<'_, StoredDestination> {
+        self.0.iter()
+    }
+
+    pub(crate) fn get(&self, id: DestinationId) -> Option<&StoredDestination> {
+        self.position(id).ok().and_then(|position| self.0.get(position))
+    }
+
+    fn position(&self, id: DestinationId) -> Result<usize, usize> {
+        self.0.binary_search_by_key(&id, |destination| destination.id)
+    }
+
+    /// The canonical bytes.
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        self.encode_with(&Replacements::new())
+    }
+
+    /// The canonical bytes the bucket would have after these replacements.
+    pub(crate) fn encode_with(&self, replacements: &Replacements) -> Vec<u8> {
+        let mut out = Vec::new();
+        let mut replacements = replacements.iter().peekable();
+        for held in &self.0 {
+            while let Some((id, endpoints)) = replacements.next_if(|(id, _)| **id < held.id) {
+                put_destination(&mut out, *id, endpoints.iter().map(Endpoint::as_ref));
+            }
+            match replacements.next_if(|(id, _)| **id == held.id) {
+                Some((id, endpoints)) => {
+                    put_destination(&mut out, *id, endpoints.iter().map(Endpoint::as_ref));
+                }
+                None => put_destination(&mut out, held.id, held.endpoints()),
+            }
+        }
+        for (id, endpoints) in replacements {
+            put_destination(&mut out, *id, endpoints.iter().map(Endpoint::as_ref));
+        }
+        out
+    }
+
+    /// What becomes of the destinations if this bucket takes the place of `before`.
+    pub(crate) fn changes_from(&self, before: &Self) -> Vec<DestinationChange> {
+        let kept_or_added = self.iter().filter_map(|after| match before.get(after.id) {
+            Some(held) if held.endpoints().eq(after.endpoints()) => None,
+            held => DestinationChange::between(after.id, held.is_some(), true),
+        });
+        let gone = before.iter().filter(|held| self.get(held.id).is_none());
+        kept_or_added.chain(gone.map(|held| DestinationChange::Removed(held.id))).collect()
+    }
+
+    /// Decodes the canonical bytes of the bucket `index`.
+    pub(crate) fn decode(index: u16, bytes: &[u8], placements: &mut Placements) -> Result<Self, BucketError> {
+        let mut destinations: Vec<StoredDestination> = Vec::new();
+        let mut reader = Reader::new(bytes);
+        while let Some((id, endpoints)) = reader.destination()? {
+            if bucket_of(id) != index {
+                return Err(BucketError::Misplaced(id));
+            }
+            if destinations.last().is_some_and(|last| last.id >= id) {
+                return Err(CodecError::Order.into());
+            }
+            destinations.push(StoredDestination::new(id, endpoints, placements));
+        }
+        destinations.shrink_to_fit();
+        Ok(Self(destinations))
+    }
+
+    /// Takes on the endpoints of one destination, or removes it if there are none.
+    pub(crate) fn replace(&mut self, id: DestinationId, endpoints: &[Endpoint], placements: &mut Placements) {
+        let position = self.position(id);
+        if endpoints.is_empty() {
+            if let Ok(position) = position {
+                self.0.remove(position);
+            }
+            return;
+        }
+        let destination = StoredDestination::new(id, endpoints.iter().map(Endpoint::as_ref), placements);
+        match position {
+            Ok(position) => self.0[position] = destination,
+            Err(position) => {
+                // Buckets are many and small: the slack of a doubled vector would cost a fifth of the set.
+                self.0.reserve_exact(1);
+                self.0.insert(position, destination);
+            }
+        }
+    }
+}
+
+/// Why bytes are no bucket.
+#[derive(Debug, Clone, PartialEq, Error)]
+pub enum BucketError {
+    /// More than [`MAX_BUCKET_BYTES`].
+    #[error("{0} bytes exceed {MAX_BUCKET_BYTES}")]
+    TooLarge(usize),
+    /// The destination belongs into another bucket.
+    #[error("destination {0} belongs into another bucket")]
+    Misplaced(DestinationId),
+    /// The bytes are not canonical.
+    #[error(transparent)]
+    Codec(#[from] CodecError),
+}
--- /dev/null
+++ b/crates/destinations/src/codec.rs
@@ -0,0 +1,160 @@
+//! The canonical bytes of destinations, over which digests are taken.
+//!
+//! | part | bytes |
+//! | --- | --- |
+//! | destination | id `i64`, count of endpoints `u8` of 1 or more, the endpoints by ascending id |
+//! | endpoint | id, address, kind, zone, phase `u8` (0 ready, 1 draining), rate `f64` |
+//! | id, kind, zone | length `u8`, UTF-8 |
+//! | address | 4 or 6 `u8`, octets, port `u16` |
+//!
+//! Numbers are little-endian. Every set of destinations has one encoding, and only that one is decoded.
+
+use std::net::{IpAddr, SocketAddr};
+
+use thiserror::Error;
+
+use crate::{DestinationId, EndpointError, EndpointRef, MAX_ENDPOINTS, Phase};
+
+/// Appends a destination; nothing for one without endpoints, as that is not in the set.
+///
+/// The endpoints are valid, ascend by id and are no more than [`MAX_ENDPOINTS`].
+pub(crate) fn put_destination<'a>(
+    out: &mut Vec<u8>, id: DestinationId, endpoints: impl ExactSizeIterator<Item = EndpointRef<'a>>,
+) {
+    if endpoints.len() == 0 {
+        return;
+    }
+    out.extend_from_slice(&id.0.to_le_bytes());
+    out.push(endpoints.len() as u8);
+    endpoints.for_each(|endpoint| put_endpoint(out, &endpoint));
+}
+
+fn put_endpoint(out: &mut Vec<u8>, endpoint: &EndpointRef<'_>) {
+    put_name(out, endpoint.id);
+    put_address(out, endpoint.address);
+    put_name(out, endpoint.kind);
+    put_name(out, endpoint.zone);
+    out.push(match endpoint.phase {
+        Phase::Ready => 0,
+        Phase::Draining => 1,
+    });
+    out.extend_from_slice(&endpoint.rate_per_s.to_le_bytes());
+}
+
+fn put_name(out: &mut Vec<u8>, name: &str) {
+    out.push(name.len() as u8);
+    out.extend_from_slice(name.as_bytes());
+}
+
+fn put_address(out: &mut Vec<u8>, address: SocketAddr) {
+    match address.ip() {
+        IpAddr::V4(ip) => {
+            out.push(4);
+            out.extend_from_slice(&ip.octets());
+        }
+        IpAddr::V6(ip) => {
+            out.push(6);
+            out.extend_from_slice(&ip.octets());
+        }
+    }
+    out.extend_from_slice(&address.port().to_le_bytes());
+}
+
+/// Reads canonical bytes from front to back.
+#[derive(Debug)]
+pub(crate) struct Reader<'a>(&'a [u8]);
+
+impl<'a> Reader<'a> {
+    pub(crate) fn new(bytes: &'a [u8]) -> Self {
+        Self(bytes)
+    }
+
+    /// The next destination and its endpoints; none at the end.
+    pub(crate) fn destination(
+        &mut self,
+    ) -> Result<Option<(DestinationId, Vec<EndpointRef<'a>>)>, CodecError> {
+        if self.0.is_empty() {
+            return Ok(None);
+        }
+        let id = DestinationId(i64::from_le_bytes(self.array()?));
+        let count = usize::from(self.byte()?);
+        if count == 0 || count > MAX_ENDPOINTS {
+            return Err(CodecError::EndpointCount(count));
+        }
+        let endpoints: Vec<_> = (0..count).map(|_| self.endpoint()).collect::<Result<_, _>>()?;
+        if !endpoints.is_sorted_by(|one, next| one.id < next.id) {
+            return Err(CodecError::Order);
+        }
+        Ok(Some((id, endpoints)))
+    }
+
+    fn endpoint(&mut self) -> Result<EndpointRef<'a>, CodecError> {
+        let endpoint = EndpointRef {
+            id: self.name()?,
+            address: self.address()?,
+            kind: self.name()?,
+            zone: self.name()?,
+            phase: self.phase()?,
+            rate_per_s: f64::from_le_bytes(self.array()?),
+        };
+        endpoint.validate()?;
+        Ok(endpoint)
+    }
+
+    fn phase(&mut self) -> Result<Phase, CodecError> {
+        match self.byte()? {
+            0 => Ok(Phase::Ready),
+            1 => Ok(Phase::Draining),
+            other => Err(CodecError::Tag(other)),
+        }
+    }
+
+    fn address(&mut self) -> Result<SocketAddr, CodecError> {
+        let ip = match self.byte()? {
+            4 => IpAddr::from(self.array::<4>()?),
+            6 => IpAddr::from(self.array::<16>()?),
+            other => return Err(CodecError::Tag(other)),
+        };
+        Ok(SocketAddr::new(ip, u16::from_le_bytes(self.array()?)))
+    }
+
+    fn name(&mut self) -> Result<&'a str, CodecError> {
+        let length = usize::from(self.byte()?);
+        let (name, rest) = self.0.split_at_checked(length).ok_or(CodecError::Cut)?;
+        self.0 = rest;
+        std::str::from_utf8(name).map_err(|_| CodecError::Utf8)
+    }
+
+    fn byte(&mut self) -> Result<u8, CodecError> {
+        self.array().map(|[byte]| byte)
+    }
+
+    fn array<const LENGTH: usize>(&mut self) -> Result<[u8; LENGTH], CodecError> {
+        let (array, rest) = self.0.split_first_chunk().ok_or(CodecError::Cut)?;
+        self.0 = rest;
+        Ok(*array)
+    }
+}
+
+/// Why bytes are not canonical.
+#[derive(Debug, Clone, PartialEq, Error)]
+pub enum CodecError {
+    /// The bytes end within a destination.
+    #[error("the bytes end within a destination")]
+    Cut,
+    /// A destination has no endpoint, or more than [`MAX_ENDPOINTS`].
+    #[error("{0} endpoints; a destination has 1 to {MAX_ENDPOINTS}")]
+    EndpointCount(usize),
+    /// Destinations or endpoints do not ascend.
+    #[error("destinations or endpoints are doubled or out of order")]
+    Order,
+    /// A tag that stands for nothing.
+    #[error("the tag {0} stands for nothing")]
+    Tag(u8),
+    /// A name is not UTF-8.
+    #[error("a name is not UTF-8")]
+    Utf8,
+    /// An endpoint breaks a bound.
+    #[error(transparent)]
+    Endpoint(#[from] EndpointError),
+}
--- /dev/null
+++ b/crates/destinations/src/persist.rs
@@ -0,0 +1,175 @@
+//! A whole set as bytes for a file, written and read piece by piece.
+//!
+//! | part | bytes |
+//! | --- | --- |
+//! | header | `"tfdests1"`, epoch `u32`, number `u64`, digest |
+//! | each bucket, in order | length `u32`, canonical bytes |
+//! | checksum | SHA-256 of all before |
+//!
+//! Numbers are little-endian. The checksum finds damage, not forgery: whoever can write the file can write its
+//! checksum, too. Where that matters, keep the signed change of the version beside it.
+
+use sha2::{Digest as _, Sha256};
+use thiserror::Error;
+
+use crate::bucket::{BUCKETS, Bucket, MAX_BUCKET_BYTES};
+use crate::digest::{DigestTree, bucket_digest};
+use crate::stored::Placements;
+use crate::{BucketError, DestinationSet, Digest, Version};
+
+const MAGIC: &[u8; 8] = b"tfdests1";
+const DIGEST_BYTES: usize = 32;
+const HEADER_BYTES: usize = MAGIC.len() + 4 + 8 + DIGEST_BYTES;
+const LENGTH_BYTES: usize = 4;
+
+/// The pieces of the file, in order; each is made when it is asked for and is at most a bucket long.
+pub fn encode(set: &DestinationSet) -> impl Iterator<Item = Vec<u8>> {
+    let mut checksum = Sha256::new();
+    let buckets = (0..BUCKETS as u16).map(|index| bucket_record(set, index));
+    let pieces = std::iter::once_with(|| header(set)).chain(buckets).map(Some);
+    pieces.chain([None]).map(move |piece| match piece {
+        Some(piece) => {
+            checksum.update(&piece);
+            piece
+        }
+        None => checksum.finalize_reset().to_vec(),
+    })
+}
+
+fn header(set: &DestinationSet) -> Vec<u8> {
+    let Version { epoch, number } = set.version();
+    [&MAGIC[..], &epoch.to_le_bytes(), &number.to_le_bytes(), &set.digest().0].concat()
+}
+
+fn bucket_record(set: &DestinationSet, index: u16) -> Vec<u8> {
+    let bytes = set.held_bucket(index).encode();
+    [&(bytes.len() as u32).to_le_bytes()[..], &bytes].concat()
+}
+
+/// Reads the file in pieces of any length.
+#[derive(Debug)]
+pub struct Decoder {
+    /// Bytes that do not yet make up the next part.
+    pending: Vec<u8>,
+    checksum: Sha256,
+    header: Option<(Version, Digest)>,
+    buckets: Vec<Bucket>,
+    bucket_digests: Vec<Digest>,
+    placements: Placements,
+}
+
+impl Default for Decoder {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Decoder {
+    /// A decoder that awaits the first byte.
+    pub fn new() -> Self {
+        Self {
+            pending: Vec::new(),
+            checksum: Sha256::new(),
+            header: None,
+            buckets: Vec::new(),
+            bucket_digests: Vec::new(),
+            placements: Placements::default(),
+        }
+    }
+
+    /// Takes the next bytes.
+    ///
+    /// # Errors
+    /// A part that is now whole is not sound. The decoder is of no more use.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), FileError> {
+        self.pending.extend_from_slice(bytes);
+        let pending = std::mem::take(&mut self.pending);
+        let mut rest = &pending[..];
+        while let Some(length) = self.next_part(rest)? {
+            let Some((part, after)) = rest.split_at_checked(length) else { break };
+            self.take_part(part)?;
+            rest = after;
+        }
+        self.pending = rest.to_vec();
+        Ok(())
+    }
+
+    /// The set, once the whole file was taken.
+    ///
+    /// # Errors
+    /// The file is cut, bytes follow it, or the checksum or the digest is wrong.
+    pub fn finish(self) -> Result<DestinationSet, FileError> {
+        let (version, digest) = self.header.ok_or(FileError::Cut)?;
+        if self.buckets.len() < BUCKETS || self.pending.len() < DIGEST_BYTES {
+            return Err(FileError::Cut);
+        }
+        if self.pending != self.checksum.finalize().as_slice() {
+            return Err(FileError::Checksum);
+        }
+        let digests = DigestTree::new(self.bucket_digests);
+        if digests.root() != digest {
+            return Err(FileError::Digest);
+        }
+        Ok(DestinationSet::assemble(version, self.buckets, digests, self.placements))
+    }
+
+    /// The length of the next part; none if that is not yet known or only the checksum is to come.
+    fn next_part(&self, rest: &[u8]) -> Result<Option<usize>, FileError> {
+        if self.header.is_none() {
+            return Ok(Some(HEADER_BYTES));
+        }
+        if self.buckets.len() == BUCKETS {
+            return if rest.len() > DIGEST_BYTES { Err(FileError::Trailing) } else { Ok(None) };
+        }
+        let Some(length) = rest.first_chunk::<LENGTH_BYTES>() else { return Ok(None) };
+        let length = u32::from_le_bytes(*length) as usize;
+        if length > MAX_BUCKET_BYTES {
+            return Err(BucketError::TooLarge(length).into());
+        }
+        Ok(Some(LENGTH_BYTES + length))
+    }
+
+    fn take_part(&mut self, part: &[u8]) -> Result<(), FileError> {
+        self.checksum.update(part);
+        if self.header.is_none() {
+            self.header = Some(read_header(part).ok_or(FileError::Magic)?);
+            return Ok(());
+        }
+        let index = self.buckets.len() as u16;
+        let bytes = part.get(LENGTH_BYTES..).ok_or(FileError::Cut)?;
+        self.buckets.push(Bucket::decode(index, bytes, &mut self.placements)?);
+        self.bucket_digests.push(bucket_digest(index, bytes));
+        Ok(())
+    }
+}
+
+fn read_header(header: &[u8]) -> Option<(Version, Digest)> {
+    let rest = header.strip_prefix(MAGIC)?;
+    let (epoch, rest) = rest.split_first_chunk()?;
+    let (number, rest) = rest.split_first_chunk()?;
+    let version = Version { epoch: u32::from_le_bytes(*epoch), number: u64::from_le_bytes(*number) };
+    Some((version, Digest(rest.try_into().ok()?)))
+}
+
+/// Why bytes are no file of a set.
+#[derive(Debug, Clone, PartialEq, Error)]
+pub enum FileError {
+    /// The file does not begin as one of this format.
+    #[error("not a file of a destination set")]
+    Magic,
+    /// The file ends early.
+    #[error("the file ends early")]
+    Cut,
+    /// Bytes follow the checksum.
+    #[error("bytes follow the checksum")]
+    Trailing,
+    /// The checksum is not that of the bytes.
+    #[error("the checksum is wrong")]
+    Checksum,
+    /// The buckets do not make up the digest.
+    #[error("the buckets do not make up the digest")]
+    Digest,
+    /// A bucket is not sound.
+    #[error(transparent)]
+    Bucket(#[from] BucketError),
+}
--- /dev/null
+++ b/crates/destinations/src/snapshot.rs
@@ -0,0 +1,235 @@
+//! Bringing a set to another version by the buckets in which it differs.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::bucket::{BUCKETS, Bucket, MAX_BUCKET_BYTES};
+use crate::digest::{DigestTree, bucket_digest};
+use crate::set::DestinationChange;
+use crate::stored::Placements;
+use crate::{Applied, BucketError, Change, DestinationSet, Digest, Version};
+
+/// The digests of a whole set. The signed change of its version vouches for it, so a manifest from anyone may be
+/// used together with that change.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Manifest {
+    /// The version of the set.
+    pub version: Version,
+    /// The digest of the set.
+    pub digest: Digest,
+    /// The digests of its buckets, in order.
+    pub bucket_digests: Vec<Digest>,
+}
+
+impl Manifest {
+    /// The most bytes of an encoded manifest: the version as two varints, the digest, the count and the digests.
+    pub const MAX_BYTES: usize = 5 + 10 + 32 + 2 + BUCKETS * 32;
+
+    /// Encodes with postcard, in about 33 kB.
+    ///
+    /// # Errors
+    /// The manifest does not have [`BUCKETS`] digests.
+    pub fn encode(&self) -> Result<Vec<u8>, ManifestError> {
+        check_count(self.bucket_digests.len())?;
+        postcard::to_allocvec(self).map_err(|_| ManifestError::Malformed)
+    }
+
+    /// Decodes what [`Manifest::encode`] gave.
+    ///
+    /// # Errors
+    /// The bytes are cut, followed by others, too many, or no manifest.
+    pub fn decode(bytes: &[u8]) -> Result<Self, ManifestError> {
+        if bytes.len() > Self::MAX_BYTES {
+            return Err(ManifestError::TooManyBytes(bytes.len()));
+        }
+        let (manifest, rest) =
+            postcard::take_from_bytes::<Self>(bytes).map_err(|_| ManifestError::Malformed)?;
+        if !rest.is_empty() {
+            return Err(ManifestError::Malformed);
+        }
+        check_count(manifest.bucket_digests.len())?;
+        Ok(manifest)
+    }
+
+    /// Checks that the bucket digests make up the digest, and that the change of this version names it.
+    fn check(&self, change: &Change) -> Result<DigestTree, ManifestError> {
+        check_count(self.bucket_digests.len())?;
+        if (change.version, change.digest) != (self.version, self.digest) {
+            return Err(ManifestError::NotVouched);
+        }
+        let digests = DigestTree::new(self.bucket_digests.clone());
+        if digests.root() != self.digest {
+            return Err(ManifestError::Digest);
+        }
+        Ok(digests)
+    }
+}
+
+fn check_count(count: usize) -> Result<(), ManifestError> {
+    if count == BUCKETS { Ok(()) } else { Err(ManifestError::BucketCount(count)) }
+}
+
+impl DestinationSet {
+    /// The digests of the set as it is.
+    pub fn manifest(&self) -> Manifest {
+        Manifest {
+            version: self.version(),
+            digest: self.digest(),
+            bucket_digests: self.digests().leaves().to_vec(),
+        }
+    }
+
+    /// The canonical bytes of one bucket; none for an index of [`BUCKETS`] or more.
+    pub fn bucket(&self, index: u16) -> Option<Vec<u8>> {
+        (usize::from(index) < BUCKETS).then(|| self.held_bucket(index).encode())
+    }
+
+    /// The buckets in which the set differs from the manifest, ascending.
+    pub fn differing(&self, manifest: &Manifest) -> Vec<u16> {
+        let pairs = self.digests().leaves().iter().zip(&manifest.bucket_digests);
+        (0..).zip(pairs).filter(|(_, (held, wanted))| held != wanted).map(|(index, _)| index).collect()
+    }
+}
+
+/// Collects the buckets in which a set differs from a manifest, and swaps them in together.
+///
+/// Only those buckets are held, beside the set, which stays in use meanwhile.
+#[derive(Debug)]
+pub struct SnapshotInstall {
+    manifest: Manifest,
+    digests: DigestTree,
+    /// None until the bucket has come.
+    buckets: BTreeMap<u16, Option<Bucket>>,
+    placements: Placements,
+}
+
+impl SnapshotInstall {
+    /// Begins to bring the set to the manifest. The change is the one that led to the manifest's version, and
+    /// must have come out of [`SignedChange::verify`](crate::SignedChange::verify).
+    ///
+    /// # Errors
+    /// The manifest is not newer than the set, or the change does not vouch for it.
+    pub fn begin(set: &DestinationSet, manifest: Manifest, change: &Change) -> Result<Self, InstallError> {
+        check_newer(set.version(), manifest.version)?;
+        let digests = manifest.check(change)?;
+        let buckets = set.differing(&manifest).into_iter().map(|index| (index, None)).collect();
+        Ok(Self { manifest, digests, buckets, placements: Placements::default() })
+    }
+
+    /// The version the set will have.
+    pub fn version(&self) -> Version {
+        self.manifest.version
+    }
+
+    /// The buckets still to come, ascending.
+    pub fn missing(&self) -> impl Iterator<Item = u16> {
+        self.buckets.iter().filter(|(_, bucket)| bucket.is_none()).map(|(index, _)| *index)
+    }
+
+    /// Takes the canonical bytes of one bucket.
+    ///
+    /// # Errors
+    /// The bucket was not asked for, has come before, or is not the one of the manifest. It is then left out, and
+    /// may come again.
+    pub fn take(&mut self, index: u16, bytes: &[u8]) -> Result<(), InstallError> {
+        let place = self.buckets.get_mut(&index).ok_or(InstallError::Unwanted(index))?;
+        if place.is_some() {
+            return Err(InstallError::Doubled(index));
+        }
+        if bytes.len() > MAX_BUCKET_BYTES {
+            return Err(BucketError::TooLarge(bytes.len()).into());
+        }
+        if self.manifest.bucket_digests.get(usize::from(index)) != Some(&bucket_digest(index, bytes)) {
+            return Err(InstallError::BucketDigest(index));
+        }
+        *place = Some(Bucket::decode(index, bytes, &mut self.placements)?);
+        Ok(())
+    }
+
+    /// Swaps in the buckets, all at once. The set may have taken on changes since the install began.
+    ///
+    /// # Errors
+    /// A bucket is missing, or the set has moved to where the manifest is no longer newer or other buckets
+    /// differ. The set is as it was; after [`InstallError::Moved`] the install is to begin anew.
+    pub fn finish(&mut self, set: &mut DestinationSet) -> Result<Applied, InstallError> {
+        check_newer(set.version(), self.manifest.version)?;
+        if let Some(index) = self.missing().next() {
+            return Err(InstallError::Missing(index));
+        }
+        if set.differing(&self.manifest).iter().any(|index| !self.buckets.contains_key(index)) {
+            return Err(InstallError::Moved);
+        }
+        let changes = self.changes(set);
+        let buckets = std::mem::take(&mut self.buckets);
+        let buckets = buckets.into_iter().filter_map(|(index, bucket)| Some((index, bucket?)));
+        let placements = std::mem::take(&mut self.placements);
+        set.replace_buckets(self.manifest.version, buckets, self.digests.clone(), placements);
+        Ok(Applied { version: self.manifest.version, changes })
+    }
+
+    /// What the swap makes of the destinations of the differing buckets.
+    fn changes(&self, set: &DestinationSet) -> Vec<DestinationChange> {
+        let buckets = self.buckets.iter().filter_map(|(index, bucket)| Some((*index, bucket.as_ref()?)));
+        buckets.flat_map(|(index, bucket)| bucket.changes_from(set.held_bucket(index))).collect()
+    }
+}
+
+fn check_newer(have: Version, got: Version) -> Result<(), InstallError> {
+    if got > have { Ok(()) } else { Err(InstallError::Older { have, got }) }
+}
+
+/// Why a manifest is refused.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+pub enum ManifestError {
+    /// There are not [`BUCKETS`] digests.
+    #[error("{0} bucket digests; there must be {BUCKETS}")]
+    BucketCount(usize),
+    /// More than [`Manifest::MAX_BYTES`].
+    #[error("{0} bytes exceed those of a manifest")]
+    TooManyBytes(usize),
+    /// The bytes are cut or are no manifest.
+    #[error("the bytes are no manifest")]
+    Malformed,
+    /// The change is of another version, or names another digest.
+    #[error("the change does not vouch for the manifest")]
+    NotVouched,
+    /// The bucket digests do not make up the digest.
+    #[error("the bucket digests do not make up the digest")]
+    Digest,
+}
+
+/// Why a step of an install is refused; the set is as it was.
+#[derive(Debug, Clone, PartialEq, Error)]
+pub enum InstallError {
+    /// The manifest is not newer than the set.
+    #[error("snapshot {got} is not newer than {have}")]
+    Older {
+        /// The version held.
+        have: Version,
+        /// The version of the manifest.
+        got: Version,
+    },
+    /// The manifest does not hold.
+    #[error(transparent)]
+    Manifest(#[from] ManifestError),
+    /// The bucket does not differ, or there is none of this index.
+    #[error("bucket {0} was not asked for")]
+    Unwanted(u16),
+    /// The bucket has come before.
+    #[error("bucket {0} has come before")]
+    Doubled(u16),
+    /// The bytes are not those of the manifest: cut, changed, or of another version.
+    #[error("bucket {0} is not the one of the manifest")]
+    BucketDigest(u16),
+    /// The bytes are no bucket, although the manifest names them.
+    #[error(transparent)]
+    Bucket(#[from] BucketError),
+    /// This bucket, and perhaps others, has not come.
+    #[error("bucket {0} has not come")]
+    Missing(u16),
+    /// The set has changed in a bucket that is not at hand.
+    #[error("the set has changed in a bucket that is not at hand")]
+    Moved,
+}
