--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -1,14 +1,35 @@
 //! Distribution of numbered changes from the control machines to every relay.
 //!
-//! [`topology`] fixes the order of machines and each relay's candidates for an upstream.
+//! [`topology`] fixes the order of machines and each relay's candidates for an upstream. A relay keeps leased
+//! subscriptions at two of them ([`subscription`], [`subscribers`]), to which new changes are pushed at once ([`push`]).
+//! Who lags behind asks for the changes that it lacks ([`catch_up`], [`change_serve`]); where those are compacted away,
+//! for the buckets of a snapshot in which it differs ([`snapshot_fetch`], [`snapshot_serve`]). The [`replica`] applies
+//! nothing that was not verified. [`node`] puts these together as a channel of the link.
+//!
+//! State machines without I/O: messages and the time go in, messages come out; the same seed yields the same run.
+//!
+//! Dependencies point one way: `message`, `reassembly`, `topology` ← `error` ← `replica` ← the servers and the fetch ←
+//! `node`.
 #![forbid(unsafe_code)]
 
+mod budget;
+mod catch_up;
+mod change_serve;
+mod error;
+mod jitter;
+pub mod message;
+pub mod node;
+mod push;
+mod reassembly;
+mod replica;
+mod snapshot_fetch;
+mod snapshot_serve;
+pub mod subscribers;
+pub mod subscription;
 pub mod topology;
 
+pub use error::{Counts, Kind, RolloutError};
 pub use fleet::{Micros, Peer, SECOND};
-
-/// Subscribers of one machine at the most.
-pub mod subscribers {
-    /// Leases that one machine grants at a time.
-    pub const MOST_SUBSCRIBERS: usize = 24;
-}
+pub use node::{Config, Node, Status};
+pub use reassembly::FragmentError;
+pub use snapshot_fetch::Progress;
--- a/crates/rollout/tests/topology.rs
+++ b/crates/rollout/tests/topology.rs
@@ -25,7 +25,7 @@
     let mut receivers: BTreeMap<Peer, usize> = BTreeMap::new();
     let mut depth: BTreeMap<Peer, usize> = BTreeMap::new();
     let mut relays: Vec<Peer> = (0..1000).collect();
-    relays.sort_by_key(|peer| (0..1000).filter(|other| topology.may_serve(*other, *peer)).count());
+    relays.sort_by_cached_key(|peer| (0..1000).filter(|other| topology.may_serve(*other, *peer)).count());
     for peer in relays {
         let candidates = topology.candidates(peer);
         assert!((6..=21).contains(&candidates.len()), "{peer}: {candidates:?}");
