Keep a machine that was taken over from holding relays up, and test hostile input

A fetch from a machine whose manifest nothing vouches for held back the catch-up from all others until it was given up after 30 s.

Such a fetch ends at once, its source is asked after all others for 30 s, and catching up by changes goes on beside a fetch.

--- a/crates/rollout/src/catch_up.rs
+++ b/crates/rollout/src/catch_up.rs
@@ -11,6 +11,11 @@
 const GRACE: Micros = 3 * SECOND / 10;
 /// A request that brought nothing for so long, in microseconds, is sent to the next machine.
 const ANSWER_TIMEOUT: Micros = SECOND / 2;
+/// The same while a snapshot is being fetched, which as a rule means that nobody has the changes any more.
+const FETCHING_TIMEOUT: Micros = 5 * SECOND;
+/// A machine that sent what does not hold is asked after all others for so long, in microseconds. It is not left out, so
+/// that forged datagrams in its name cannot cut a relay off from it.
+const DISTRUSTED: Micros = 30 * SECOND;
 
 #[derive(Clone, Copy, Debug)]
 struct Request {
@@ -23,6 +28,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct CatchUp {
     ahead: BTreeMap<Peer, Version>,
+    /// Machines that sent what does not hold, and until when that counts.
+    distrusted: BTreeMap<Peer, Micros>,
+    fetching: bool,
     since: Option<Micros>,
     request: Option<Request>,
 }
@@ -41,6 +49,16 @@
         self.request.is_some_and(|request| request.to == peer)
     }
 
+    /// A machine sent something that does not hold.
+    pub fn distrust(&mut self, now: Micros, peer: Peer) {
+        self.distrusted.insert(peer, now + DISTRUSTED);
+    }
+
+    /// Whether a snapshot is being fetched.
+    pub fn set_fetching(&mut self, fetching: bool) {
+        self.fetching = fetching;
+    }
+
     /// Whom to ask now for the changes after `ours`.
     pub fn poll(&mut self, now: Micros, ours: Version) -> Option<Peer> {
         self.ahead.retain(|_, version| *version > ours);
@@ -64,6 +82,7 @@
     /// When [`CatchUp::poll`] has something to do next.
     pub fn next_at(&self) -> Micros {
         match (self.request, self.since) {
+            (Some(request), _) if self.fetching => request.at + FETCHING_TIMEOUT,
             (Some(request), _) => request.at + ANSWER_TIMEOUT,
             (None, Some(since)) => since + GRACE,
             (None, None) => Micros::MAX,
--- a/crates/rollout/src/node.rs
+++ b/crates/rollout/src/node.rs
@@ -131,10 +131,10 @@
         self.apply(now, change, signed)
     }
 
-    /// On a control machine: the cluster confirmed at this moment that the set here has all that is committed.
-    pub fn confirm(&mut self, now: Micros) {
+    /// On a control machine: the set here has all that the cluster had committed at that moment.
+    pub fn confirm(&mut self, at: Micros) {
         if self.role == Role::Control {
-            self.confirmed = self.confirmed.max(Some(now));
+            self.confirmed = self.confirmed.max(Some(at));
         }
     }
 
@@ -279,8 +279,9 @@
             return Err(ApplyError::Older { have, got: version }.into());
         }
         let Some(signed) = self.assemblies.take(now, from, version, fragment)? else { return Ok(()) };
-        let change = self.replica.verify(version, &signed)?;
-        let applied = self.apply(now, change, signed);
+        let verified =
+            self.replica.verify(version, &signed).inspect_err(|_| self.catch_up.distrust(now, from))?;
+        let applied = self.apply(now, verified, signed);
         if matches!(&applied, Err(why) if why.kind() == Kind::OutOfOrder) {
             self.saw(now, from, version);
         }
@@ -351,6 +352,11 @@
         let Some((fetch, _)) = &mut self.fetch else { return Err(RolloutError::Unasked(from)) };
         match fetch.take(now, from, &self.replica, fragment)? {
             Fetched::Part => Ok(()),
+            Fetched::Unsound(why) => {
+                self.fetch = None;
+                self.catch_up.distrust(now, from);
+                Err(why)
+            }
             Fetched::Whole(install, vouched_by) => {
                 self.fetch = None;
                 let applied = self.replica.install(*install, vouched_by)?;
@@ -376,9 +382,8 @@
         self.subscriptions.poll(now, version, &mut self.out);
         self.push_due(now);
         self.poll_fetch(now);
-        if self.fetch.is_none()
-            && let Some(peer) = self.catch_up.poll(now, version)
-        {
+        self.catch_up.set_fetching(self.fetch.is_some());
+        if let Some(peer) = self.catch_up.poll(now, version) {
             self.out.push((peer, Message::ChangesRequest { after: version }));
         }
         self.counts.caught_up += self.changes.poll(now, &self.replica, &mut self.budget, &mut self.out);
@@ -421,11 +426,9 @@
     fn due_at(&self) -> Micros {
         let serves = self.changes.waits() || self.snapshots.waits();
         let serve = if serves { self.budget.next_at() } else { Micros::MAX };
-        let catch_up = match &self.fetch {
-            Some((fetch, _)) => fetch.next_at(),
-            None => self.catch_up.next_at(),
-        };
-        self.subscriptions.next_at().min(self.subscribers.next_at()).min(serve).min(catch_up)
+        let fetch = self.fetch.as_ref().map_or(Micros::MAX, |(fetch, _)| fetch.next_at());
+        let subscriptions = self.subscriptions.next_at().min(self.subscribers.next_at());
+        subscriptions.min(serve).min(fetch).min(self.catch_up.next_at())
     }
 }
 
--- a/crates/rollout/src/snapshot_fetch.rs
+++ b/crates/rollout/src/snapshot_fetch.rs
@@ -64,6 +64,8 @@
     Part,
     /// All parts are here.
     Whole(Box<SnapshotInstall>, SignedChange),
+    /// Nothing vouches for the manifest: the fetch has come to nothing.
+    Unsound(RolloutError),
 }
 
 /// One fetch of a snapshot.
@@ -129,7 +131,7 @@
     /// Takes a fragment.
     ///
     /// # Errors
-    /// If it was not asked for, or the part that it completes does not hold; the part is then fetched elsewhere.
+    /// If it was not asked for, or the bucket that it completes does not hold, which is then fetched elsewhere.
     pub fn take(
         &mut self, now: Micros, from: Peer, replica: &Replica,
         (number, index, count, bytes): (u16, u16, u16, Vec<u8>),
@@ -163,7 +165,11 @@
 
     fn take_part(&mut self, replica: &Replica, part: Part, bytes: &[u8]) -> Result<Fetched, RolloutError> {
         match (part, &mut self.stage) {
-            (Part::Manifest, Stage::Manifest) => self.take_manifest(replica, bytes)?,
+            (Part::Manifest, Stage::Manifest) => {
+                if let Err(why) = self.take_manifest(replica, bytes) {
+                    return Ok(Fetched::Unsound(why));
+                }
+            }
             (Part::Bucket { index, .. }, Stage::Buckets { install, .. }) => install.take(index, bytes)?,
             _ => {}
         }
--- a/crates/rollout/tests/world/mod.rs
+++ b/crates/rollout/tests/world/mod.rs
@@ -69,6 +69,8 @@
     events: BinaryHeap<Reverse<(Micros, u64, Event)>>,
     sequence: u64,
     random: u64,
+    /// Machines that go by other keys; what they hold themselves is not checked.
+    taken_over: BTreeSet<Peer>,
     /// Datagrams from the first to the second are lost.
     cuts: BTreeSet<(Peer, Peer)>,
     published: BTreeMap<Version, Digest>,
@@ -122,6 +124,7 @@
             events: BinaryHeap::new(),
             sequence: 0,
             random: layout.seed,
+            taken_over: BTreeSet::new(),
             cuts: BTreeSet::new(),
             published,
             seen: BTreeMap::new(),
@@ -161,6 +164,18 @@
     }
 
     pub fn start_with(&mut self, peer: Peer, set: DestinationSet, newest: Option<SignedChange>) {
+        self.start_node(peer, control_keys(), set, newest);
+    }
+
+    /// Starts a machine with nothing in hand that goes by other keys, and so forwards and serves what they signed.
+    pub fn start_taken_over(&mut self, peer: Peer, keys: ControlKeys) {
+        self.taken_over.insert(peer);
+        self.start_node(peer, keys, DestinationSet::new(), None);
+    }
+
+    fn start_node(
+        &mut self, peer: Peer, keys: ControlKeys, set: DestinationSet, newest: Option<SignedChange>,
+    ) {
         let config = link::Config {
             me: peer,
             incarnation: fleet::incarnation(self.now),
@@ -173,7 +188,7 @@
         let link = Link::new(config, self.now);
         let config = Config {
             log: self.layout.log,
-            ..Config::new(peer, Arc::clone(&self.topology), control_keys(), self.layout.seed)
+            ..Config::new(peer, Arc::clone(&self.topology), keys, self.layout.seed)
         };
         self.seen.insert(peer, set.version());
         self.links.insert(peer, (link, Node::new(config, set, newest, self.now)));
@@ -193,6 +208,10 @@
         &self.links[&peer].1
     }
 
+    pub fn node_mut(&mut self, peer: Peer) -> &mut Node {
+        &mut self.links.get_mut(&peer).expect("it runs").1
+    }
+
     pub fn version(&self, peer: Peer) -> Version {
         self.node(peer).set().version()
     }
@@ -326,6 +345,8 @@
                         self.push(now + 1000, Event::Publish { control, signed: signed.encode() });
                     }
                     Err(why) if why.kind() == rollout::Kind::Doubled => {}
+                    // A machine that goes by other keys.
+                    Err(why) if why.kind() == rollout::Kind::Forged => {}
                     Err(why) => panic!("control {control}: {why}"),
                 }
                 self.check(control);
@@ -372,6 +393,9 @@
         let Some((_, node)) = self.links.get_mut(&peer) else { return };
         let (version, digest) = (node.set().version(), node.set().digest());
         node.take_applied();
+        if self.taken_over.contains(&peer) {
+            return;
+        }
         let published = self.published.get(&version);
         assert_eq!(published, Some(&digest), "machine {peer} holds a set at {version} that nobody published");
         let before = self.seen.insert(peer, version).unwrap_or_default();
