Split the configuration into a folder with one module a job

The file of 933 lines held the platform's JSON, the operator's TOML, the limits, the reload and the fleet's settings, and a further section was to go into it.

src/config/ now has error, fleet, limits, platform, reload, settings and operator (with table, settings, fleet, record and as2). Long functions became short ones, doc comments say units and defaults, numbers in the text became named constants. Public paths stay: config::{Config, ConfigError, Limits, As2Config, template}.

No behaviour changes: keys, defaults, messages and the order in which faults are found are the same.

--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,116 @@
+//! Configuration: reads, checks and completes with defaults everything a relay is configured with.
+//!
+//! There are two sources: the platform's JSON file ([`Config::load`]) and an operator's TOML file
+//! ([`Config::load_file`]). Environment variables override both. Every error names the key at fault. This module
+//! starts nothing.
+
+mod error;
+mod fleet;
+mod limits;
+mod operator;
+mod platform;
+mod reload;
+mod settings;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use record::sql::Target;
+use serde_json::Value;
+
+use crate::as2::Identity;
+use crate::fleet::Setup;
+use crate::interface::Settings;
+use crate::net::discovery::Told;
+use crate::recording::Recording;
+use crate::store::{Room, TO_END, TO_END_RECORDED};
+use crate::wire::Names;
+
+pub use error::ConfigError;
+pub use limits::Limits;
+
+/// The snapshot of health observations may take the disk limit divided by this.
+const SNAPSHOT_DIVISOR: u64 = 32;
+/// Beside a record in SQLite, the journal may take the disk limit divided by this.
+const JOURNAL_DIVISOR_BESIDE_SQLITE: u64 = 4;
+
+/// Configuration of the AS2 front.
+#[derive(Debug)]
+pub struct As2Config {
+    /// Address on which partners connect.
+    pub listen: SocketAddr,
+    /// The relay's own AS2 identity and its partners.
+    pub identity: Identity,
+}
+
+/// The complete configuration of one relay.
+#[derive(Debug)]
+pub struct Config {
+    /// The relay's name.
+    pub name: String,
+    /// Address on which clients connect.
+    pub listen: SocketAddr,
+    /// Number of the inherited file descriptor on which client connections arrive, if there is one.
+    pub accept: Option<String>,
+    /// Address of the admin endpoint; without it there is none.
+    pub ops: Option<SocketAddr>,
+    /// Address of the platform's agent, which serves the destination set.
+    pub discovery: Option<SocketAddr>,
+    /// Address to which non-delivery reports go; without one they are only recorded and logged.
+    pub notices: Option<SocketAddr>,
+    /// Database in which the ends of messages are recorded, if any.
+    pub record: Option<Recording>,
+    /// Membership in a fleet of relays, if any.
+    pub fleet: Option<Setup>,
+    /// The AS2 front, off unless an operator's file configures it.
+    pub as2: Option<As2Config>,
+    /// The folder for persistent state.
+    pub state: PathBuf,
+    /// Seed of the random number generator.
+    pub seed: u64,
+    /// Resource limits of the process.
+    pub limits: Limits,
+    /// Settings of the decision module.
+    pub settings: Settings,
+    /// Names of the classes, tenants and other items in these settings.
+    pub names: Names,
+    /// The destination set as last known.
+    pub known: Option<Told>,
+    /// The file as it was read.
+    source: Value,
+}
+
+impl Config {
+    /// Space for the journal, in bytes: the disk limit less what the observation snapshots and an SQLite record
+    /// take of it.
+    pub fn journal_room(&self) -> Room {
+        let disk = self.limits.disk - self.snapshots_total();
+        match &self.record {
+            None => Room { limit: disk, to_end: TO_END },
+            Some(Recording { target: Target::Sqlite { .. }, .. }) => {
+                Room { limit: disk / JOURNAL_DIVISOR_BESIDE_SQLITE, to_end: TO_END_RECORDED }
+            }
+            Some(_) => Room { limit: disk, to_end: TO_END_RECORDED },
+        }
+    }
+
+    /// Maximum size of one snapshot of health observations, in bytes.
+    pub fn snapshot_room(&self) -> u64 {
+        self.limits.disk / SNAPSHOT_DIVISOR
+    }
+
+    /// Bytes that snapshots take: two exist while one replaces the other.
+    fn snapshots_total(&self) -> u64 {
+        if self.shares_observations() { 2 * self.snapshot_room() } else { 0 }
+    }
+
+    /// Whether the relay exchanges health observations with its peers.
+    fn shares_observations(&self) -> bool {
+        self.fleet.as_ref().is_some_and(|fleet| fleet.facts.is_some())
+    }
+}
+
+/// The file that `config init` writes for an application.
+pub fn template(application: &str) -> String {
+    include_str!("../template.toml").replace("APPLICATION", application)
+}
