Take the destination set from control machines where an operator's file says so

A change of the destination set reached a relay by its own file alone, or by discovery. With a [configuration] table the relay has one more channel on the link between relays: what control machines sign and publish is applied and reaches the runtime as one input for each step, with the destinations it touches and the endpoints that are gone. A full queue delays it and loses nothing. The set is kept in configuration.set in portions, bounded by disk_mb, and is checked against its signed change at a start. Zones, regions, control machines and keys are checked when the file is read. fleet configuration shows what is in force. Without the table nothing changes.

--- a/crates/destinations/src/persist.rs
+++ b/crates/destinations/src/persist.rs
@@ -23,18 +23,64 @@
 
 /// The pieces of the file, in order; each is made when it is asked for and is at most a bucket long.
 pub fn encode(set: &DestinationSet) -> impl Iterator<Item = Vec<u8>> {
-    let mut checksum = Sha256::new();
-    let buckets = (0..BUCKETS as u16).map(|index| bucket_record(set, index));
-    let pieces = std::iter::once_with(|| header(set)).chain(buckets).map(Some);
-    pieces.chain([None]).map(move |piece| match piece {
-        Some(piece) => {
-            checksum.update(&piece);
-            piece
+    let mut encoder = Encoder::new(set);
+    // The set is borrowed for as long as the iterator lives, so that it cannot change meanwhile.
+    std::iter::from_fn(move || encoder.next_piece(set).ok().flatten())
+}
+
+/// Makes the pieces of the file one at a time, so that the set is free for other use between them.
+#[derive(Debug)]
+pub struct Encoder {
+    version: Version,
+    digest: Digest,
+    stage: Stage,
+    checksum: Sha256,
+}
+
+/// The piece that comes next.
+#[derive(Debug, Clone, Copy)]
+enum Stage {
+    Header,
+    Bucket(u16),
+    Checksum,
+    End,
+}
+
+impl Encoder {
+    /// An encoder of the set as it is now.
+    pub fn new(set: &DestinationSet) -> Self {
+        let (version, digest) = (set.version(), set.digest());
+        Self { version, digest, stage: Stage::Header, checksum: Sha256::new() }
+    }
+
+    /// The next piece, at most a bucket long; none after the last.
+    ///
+    /// # Errors
+    /// The set has changed since [`Encoder::new`], so that the file has to be begun anew.
+    pub fn next_piece(&mut self, set: &DestinationSet) -> Result<Option<Vec<u8>>, SetChanged> {
+        if (set.version(), set.digest()) != (self.version, self.digest) {
+            return Err(SetChanged);
         }
-        None => checksum.finalize_reset().to_vec(),
-    })
+        let (piece, next) = match self.stage {
+            Stage::Header => (header(set), Stage::Bucket(0)),
+            Stage::Bucket(index) if usize::from(index) + 1 < BUCKETS => {
+                (bucket_record(set, index), Stage::Bucket(index + 1))
+            }
+            Stage::Bucket(index) => (bucket_record(set, index), Stage::Checksum),
+            Stage::Checksum => (self.checksum.finalize_reset().to_vec(), Stage::End),
+            Stage::End => return Ok(None),
+        };
+        self.checksum.update(&piece);
+        self.stage = next;
+        Ok(Some(piece))
+    }
 }
 
+/// The set has changed while it was being encoded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+#[error("the set has changed while it was being encoded")]
+pub struct SetChanged;
+
 fn header(set: &DestinationSet) -> Vec<u8> {
     let Version { epoch, number } = set.version();
     [&MAGIC[..], &epoch.to_le_bytes(), &number.to_le_bytes(), &set.digest().0].concat()
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! What the program does on the command line: runs a relay, and asks the record.
 
+pub mod configuration;
 pub mod control;
 pub mod peers;
 pub mod record;
--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -185,6 +185,7 @@
     let revision = known.as_ref().map_or(0, |known| known.revision);
     let revision = told.as_ref().map_or(revision, |(handed, _)| handed.revision);
     let revision = Arc::new(AtomicI64::new(revision));
+    let mut known = known.map(|known| known.members).unwrap_or_default();
     let mut runtime = Runtime::new(clock, relay, names, most, journal, caller, notices)
         .shown_by(standing.clone())
         .naming(naming)
@@ -206,9 +207,16 @@
         let seed = clock.now().unsigned_abs();
         let (rules, snapshot) = (&config.settings.rules, (config.state.as_path(), config.snapshot_room()));
         let (inputs, process) = (inputs.clone(), (standing.clone(), leave.clone()));
-        let started = fleet::start(setup, rules, snapshot, (clock, seed), (inputs, replaced), process).await;
-        let (tell, kept, task) = started.map_err(|error| format!("peers: {error}"))?;
-        (runtime, said, link) = (runtime.among(tell), kept, Some(task));
+        let before = match &told {
+            None => fleet::Before::Configured(&known),
+            Some((handed, _)) => fleet::Before::HandedOver(handed.endpoints()),
+        };
+        let started =
+            fleet::start(setup, rules, snapshot, (clock, seed), (inputs, replaced), process, before).await;
+        let started = started.map_err(|error| format!("peers: {error}"))?;
+        (runtime, said, link) = (runtime.among(started.tell), started.said, Some(started.task));
+        // What control machines said last goes before the list of the file.
+        known = started.endpoints.unwrap_or(known);
     }
     // Pushed lists are asked of an agent of this machine's own; others cost the one that all relays ask.
     let (asking, watch) = match config.settings.ask_every {
@@ -218,7 +226,7 @@
     let mut back_off = discovery::BackOff::new(asking, config.seed, config.settings.rules.drain_grace);
     let mut kept = None;
     match told {
-        None => runtime.resume(known.map(|known| known.members).unwrap_or_default(), said, replay)?,
+        None => runtime.resume(known, said, replay)?,
         Some((handed, link)) => {
             back_off = back_off.watching();
             standing.take_posture(handed.standby);
--- a/src/command/turns.rs
+++ b/src/command/turns.rs
@@ -64,6 +64,11 @@
         #[command(flatten)]
         socket: Socket,
     },
+    /// Shows the version of the destination set that is in force on a relay, from whom it has it, and what it refused
+    Configuration {
+        #[command(flatten)]
+        socket: Socket,
+    },
     /// Wishes every relay out, or every relay of a zone, one after the other as the fleet settles it
     Roll {
         #[command(flatten)]
@@ -207,6 +212,7 @@
     match command {
         Fleet::Show { socket } => super::peers::show(socket, "shares"),
         Fleet::Turns { socket } => order(socket, &json!({"turns": "show"})),
+        Fleet::Configuration { socket } => super::configuration::show(socket),
         Fleet::Roll { socket, zone, kind: what, .. } => {
             order(socket, &json!({"turns": "roll", "zone": zone, "kind": kind(*what)}))
         }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -4,6 +4,7 @@
 //! ([`Config::load_file`]). Environment variables override both. Every error names the key at fault. This module
 //! starts nothing.
 
+mod distribution;
 mod error;
 mod fleet;
 mod limits;
@@ -81,10 +82,11 @@
 }
 
 impl Config {
-    /// Space for the journal, in bytes: the disk limit less what the observation snapshots and an SQLite record
-    /// take of it.
+    /// Space for the journal, in bytes: the disk limit less what the observation snapshots, the files of the
+    /// replicated destination set and an SQLite record take of it.
     pub fn journal_room(&self) -> Room {
-        let disk = self.limits.disk - self.snapshots_total();
+        let files = distribution::files_room(self.fleet.as_ref());
+        let disk = self.limits.disk - self.snapshots_total() - files;
         match &self.record {
             None => Room { limit: disk, to_end: TO_END },
             Some(Recording { target: Target::Sqlite { .. }, .. }) => {
--- a/src/config/operator/fleet.rs
+++ b/src/config/operator/fleet.rs
@@ -44,6 +44,7 @@
         repeats,
         facts: Some(FactsSetup { warm }),
         turns,
+        distribution: None,
         control: table.maybe_text("control")?.map(|path| folder.join(path)),
     };
     table.finish()?;
--- a/src/config/operator/mod.rs
+++ b/src/config/operator/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::net::discovery::told;
 
+use super::distribution;
 use super::error::{ConfigError, bad};
 use super::fleet::apply_to_settings;
 use super::settings::read_settings;
@@ -44,11 +45,15 @@
         let (mut settings, names) = read_settings(&settings)?;
         let known = told(&known).map_err(|why| bad("destination", why))?;
         let limits = Limits::from_operator(top)?;
+        let mut fleet = top.table("peers")?.map(|table| fleet::read(&table, folder)).transpose()?;
+        if let Some(table) = top.table("configuration")? {
+            distribution::read(&table, fleet.as_mut(), limits)?;
+        }
+        let shared = Limits { disk: limits.disk - distribution::files_room(fleet.as_ref()), ..limits };
         let record = match top.table("store")? {
-            Some(table) => record::read(&table, folder, &state, limits, &environment)?,
+            Some(table) => record::read(&table, folder, &state, shared, &environment)?,
             None => None,
         };
-        let fleet = top.table("peers")?.map(|table| fleet::read(&table, folder)).transpose()?;
         let cells = known.members.iter().map(|member| member.entry.cell()).collect();
         let context = as2::Context { folder, settings: &settings, names: &names, cells };
         let as2 = top.table("as2")?.map(|table| as2::read(&table, &context)).transpose()?;
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -192,6 +192,7 @@
         repeats: options.repeats,
         facts: options.facts.then_some(FactsSetup { warm: true }),
         turns: options.seats.map(|seats| TurnsSetup { seats, zones }),
+        distribution: None,
         control: options.control,
     }))
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,9 +1,10 @@
-//! The relay in its fleet, on sockets: one socket for the link between relays, with permits of stewards, facts of peers and
-//! turns on it, a snapshot of facts and a file of turns beside the journal, and a control socket that shows all of it. Owns these sockets and
-//! that file. It must never make a message wait; what stewards and peers say reaches the module as events, and what it
-//! means is the module's to decide.
+//! The relay in its fleet, on sockets: one socket for the link between relays, with permits of stewards, facts of peers,
+//! turns and the distribution of the destination set on it, a snapshot of facts and files of turns and of the set beside
+//! the journal, and a control socket that shows all of it. Owns these sockets and files. It must never make a message
+//! wait; what stewards and peers say reaches the module as events, and what it means is the module's to decide.
 
 mod cuts;
+mod distribution;
 mod kept;
 mod snapshot;
 mod told;
@@ -30,14 +31,16 @@
 use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio::task::JoinHandle;
-use tracing::{debug, info};
+use tracing::{debug, info, warn};
 
-use crate::exchange::Clock;
+use crate::exchange::{Clock, Member};
 use crate::input::Input;
 use crate::interface::{Hearsay, Micros, RuleFigures};
 use crate::standing::Standing;
 
 use cuts::Cuts;
+use distribution::Distribution;
+pub use distribution::{Before, DistributionSetup};
 use snapshot::Snapshot;
 use told::hearsay;
 pub use told::{ToFleet, ended};
@@ -77,10 +80,26 @@
     pub facts: Option<FactsSetup>,
     /// Its part among relays that take turns out for work.
     pub turns: Option<TurnsSetup>,
+    /// Its part in the distribution of the destination set by control machines.
+    pub distribution: Option<DistributionSetup>,
     /// Where it answers an operator.
     pub control: Option<PathBuf>,
 }
 
+impl Setup {
+    /// The numbers of all that notes come from: relays, then control machines.
+    fn peers(&self) -> Vec<Peer> {
+        let controls = self.distribution.as_ref().map_or(0, |distribution| count(&distribution.controls));
+        (0..count(&self.all).saturating_add(controls)).collect()
+    }
+
+    /// Where a relay or a control machine hears notes.
+    fn address(&self, peer: Peer) -> Option<&SocketAddr> {
+        let controls = self.distribution.iter().flat_map(|distribution| &distribution.controls);
+        self.all.iter().chain(controls).nth(usize::from(peer))
+    }
+}
+
 /// How a relay shares facts.
 #[derive(Clone, Debug)]
 pub struct FactsSetup {
@@ -97,30 +116,41 @@
     repeats: Option<repeat::Node>,
     facts: Option<(Facts, Witness, Snapshot)>,
     turning: Option<Turning>,
+    distribution: Option<Distribution>,
     cuts: Cuts,
     inputs: mpsc::Sender<Input>,
     replaced: watch::Receiver<Vec<SocketAddr>>,
     socket: UdpSocket,
 }
 
-/// Starts the relay's part in its fleet; what the runtime tells goes into the sender, what others say into `inputs`. Also
-/// what an earlier process of this relay kept, for before it takes on again what is owed. The snapshot in the state
-/// folder takes at most `room` bytes. Another list of relays comes by `replaced`. The task has the sockets, and lets go
-/// of them when it is aborted.
+/// A relay's part in its fleet that has started.
+pub struct Started {
+    /// Takes what the runtime tells.
+    pub tell: mpsc::UnboundedSender<ToFleet>,
+    /// What an earlier process of this relay kept of what was said, for before it takes on again what is owed.
+    pub said: Vec<Hearsay>,
+    /// The endpoints of the destination set as an earlier process kept it, in place of the configured ones.
+    pub endpoints: Option<Vec<Member>>,
+    /// Has the sockets, and lets go of them when it is aborted.
+    pub task: JoinHandle<()>,
+}
+
+/// Starts the relay's part in its fleet; what others say goes into `inputs`. The snapshot of facts in the state folder takes
+/// at most `room` bytes. `before` are the endpoints that the runtime starts with. Another list of relays comes by `replaced`.
 ///
 /// # Errors
 /// Where a socket is not to be had.
 pub async fn start(
     setup: &Setup, rules: &RuleFigures, (state, room): (&Path, u64), (clock, seed): (Clock, u64),
     (inputs, replaced): (mpsc::Sender<Input>, watch::Receiver<Vec<SocketAddr>>),
-    (standing, leave): (Arc<Standing>, Arc<Notify>),
-) -> std::io::Result<(mpsc::UnboundedSender<ToFleet>, Vec<Hearsay>, JoinHandle<()>)> {
+    (standing, leave): (Arc<Standing>, Arc<Notify>), before: Before<'_>,
+) -> std::io::Result<Started> {
     let now = clock.now();
     let start = incarnation(now);
     let config = link::Config {
         me: setup.me,
         incarnation: start,
-        peers: numbers(count(&setup.all)),
+        peers: setup.peers(),
         keys: setup.keys.clone(),
         bytes_per_s: setup.bytes_per_s,
         // Permits tell who is there by themselves; only facts need to know more.
@@ -160,6 +190,9 @@
         .turns
         .clone()
         .map(|turns| Turning::new(turns, (setup.me, relays, start), state, now, standing, leave));
+    let distribution =
+        setup.distribution.as_ref().map(|how| Distribution::start(how, (setup.me, seed), state, before, now));
+    let (distribution, endpoints) = distribution.unzip();
     let (tell, told) = mpsc::unbounded_channel();
     let shell = Shell {
         clock,
@@ -169,22 +202,20 @@
         repeats,
         facts,
         turning,
+        distribution,
         cuts: Cuts::default(),
         inputs,
         replaced,
         socket,
     };
-    Ok((tell, kept, tokio::spawn(shell.run(told, control))))
+    let task = tokio::spawn(shell.run(told, control));
+    Ok(Started { tell, said: kept, endpoints: endpoints.flatten(), task })
 }
 
 fn count(all: &[SocketAddr]) -> Peer {
     Peer::try_from(all.len()).unwrap_or(Peer::MAX)
 }
 
-fn numbers(relays: Peer) -> Vec<Peer> {
-    (0..relays).collect()
-}
-
 /// The control socket. What an earlier process left there answers nobody.
 fn listen(path: &Path) -> std::io::Result<UnixListener> {
     match std::fs::remove_file(path) {
@@ -198,12 +229,14 @@
 fn channels<'a>(
     permits: &'a mut Option<permit::Node>, repeats: &'a mut Option<repeat::Node>,
     facts: &'a mut Option<(Facts, Witness, Snapshot)>, turning: &'a mut Option<Turning>,
+    distribution: &'a mut Option<Distribution>,
 ) -> Vec<&'a mut dyn Channel> {
     let permits = permits.iter_mut().map(|permits| permits as &mut dyn Channel);
     let repeats = repeats.iter_mut().map(|repeats| repeats as &mut dyn Channel);
     let turns = turning.iter_mut().map(|turning| &mut turning.node as &mut dyn Channel);
+    let distribution = distribution.iter_mut().map(|part| &mut part.node as &mut dyn Channel);
     let facts = facts.iter_mut().map(|(facts, ..)| facts as &mut dyn Channel);
-    permits.chain(repeats).chain(turns).chain(facts).collect()
+    permits.chain(repeats).chain(turns).chain(distribution).chain(facts).collect()
 }
 
 /// What an operator asks, and where the answer goes.
@@ -226,12 +259,22 @@
             let now = self.clock.now();
             let mut next = self.link.next_at(
                 now,
-                &channels(&mut self.permits, &mut self.repeats, &mut self.facts, &mut self.turning),
+                &channels(
+                    &mut self.permits,
+                    &mut self.repeats,
+                    &mut self.facts,
+                    &mut self.turning,
+                    &mut self.distribution,
+                ),
             );
             if let Some((facts, _, snapshot)) = &mut self.facts {
                 snapshot.keep_if_due(now, facts.ledger());
                 next = next.min(snapshot.due());
             }
+            if let Some(distribution) = &mut self.distribution {
+                distribution.keep(now);
+                next = next.min(distribution.due());
+            }
             next = next.min(look);
             if let Some(permits) = &self.permits {
                 if self.cuts.due(now) {
@@ -270,7 +313,13 @@
         let now = self.clock.now();
         let mut out = self.link.poll(
             now,
-            &mut channels(&mut self.permits, &mut self.repeats, &mut self.facts, &mut self.turning),
+            &mut channels(
+                &mut self.permits,
+                &mut self.repeats,
+                &mut self.facts,
+                &mut self.turning,
+                &mut self.distribution,
+            ),
         );
         if let Some(permits) = &mut self.permits {
             out.extend(permits.say_earlier(self.link.keys()));
@@ -290,8 +339,11 @@
                 repeats.not_taken(handed);
             }
         }
+        if let Some(distribution) = &mut self.distribution {
+            distribution.deliver(now, &self.inputs);
+        }
         for out in out {
-            if let Some(to) = self.setup.all.get(usize::from(out.to)) {
+            if let Some(to) = self.setup.address(out.to) {
                 // A note may be lost in any case.
                 let _ = self.socket.send_to(&out.bytes, to).await;
             }
@@ -336,7 +388,13 @@
         let taken = self.link.receive(
             now,
             bytes,
-            &mut channels(&mut self.permits, &mut self.repeats, &mut self.facts, &mut self.turning),
+            &mut channels(
+                &mut self.permits,
+                &mut self.repeats,
+                &mut self.facts,
+                &mut self.turning,
+                &mut self.distribution,
+            ),
         );
         if let (Err(NoteError::Version(earlier::VERSION)), Some(permits)) = (taken, &mut self.permits) {
             return permits.hear_earlier(now, bytes, self.link.keys());
@@ -357,9 +415,16 @@
 
     /// Takes on another list of relays.
     fn replace(&mut self) {
-        self.setup.all = self.replaced.borrow_and_update().clone();
+        let all = self.replaced.borrow_and_update().clone();
+        if self.distribution.is_some() && all.len() != self.setup.all.len() {
+            // The numbers of control machines follow those of relays, and each relay has its place in the file.
+            return warn!(
+                "another number of relays needs a restart, as [configuration] gives each its place"
+            );
+        }
+        self.setup.all = all;
         let relays = count(&self.setup.all);
-        self.link.replace(numbers(relays));
+        self.link.replace(self.setup.peers());
         self.permits.iter_mut().for_each(|permits| permits.replaced(relays));
         self.repeats.iter_mut().for_each(|repeats| repeats.replaced(relays));
         if let Some((facts, ..)) = &mut self.facts {
@@ -420,7 +485,8 @@
         let budgets: Vec<Value> =
             self.repeats.iter().flat_map(|repeats| repeats.budgets(now)).map(budget).collect();
         let turns = self.turning.as_ref().map(|turning| turning.show(now));
-        json!({"peers": peers, "facts": known, "shares": shares, "overload": queues, "repeats": budgets, "turns": turns, "sent": counts.sent,
+        let configuration = self.distribution.as_ref().map(|distribution| distribution.show(now));
+        json!({"peers": peers, "facts": known, "shares": shares, "overload": queues, "repeats": budgets, "turns": turns, "configuration": configuration, "sent": counts.sent,
             "bytes": counts.bytes, "taken": counts.taken, "ignored": ignored, "skipped": counts.skipped,
             "news": facts.map_or(0, Facts::news_count)})
     }
--- a/src/handed.rs
+++ b/src/handed.rs
@@ -74,6 +74,17 @@
     pub standby: bool,
 }
 
+impl Handed {
+    /// The endpoints that are listed: the destination and the id of each, where the id begins with its destination as in an
+    /// operator's file.
+    pub fn endpoints(&self) -> Vec<(i64, String)> {
+        let names = self.addresses.iter().filter_map(|(target, _)| self.names.target_name(*target));
+        let destination =
+            |name: &str| name.split_once('@').and_then(|(destination, _)| destination.parse().ok());
+        names.filter_map(|name| Some((destination(name)?, name.to_string()))).collect()
+    }
+}
+
 /// Asks the runtime to stop between two inputs and tell all it knows.
 #[derive(Debug)]
 pub struct Offer {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -356,6 +356,11 @@
         id
     }
 
+    /// The name of an endpoint.
+    pub fn target_name(&self, target: TargetId) -> Option<&str> {
+        self.target_names.get(&target).map(String::as_str)
+    }
+
     /// Forgets an endpoint that is gone. Listed once more, it gets a new number.
     pub fn forget(&mut self, target: TargetId) {
         if let Some(name) = self.target_names.remove(&target) {
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -103,7 +103,7 @@
     let deploy = root.join("deploy/muscat-checkin-as2.toml");
     let error = Config::load_file(&deploy, none).expect_err("no keys").to_string();
     assert!(error.starts_with("as2.key: ") && error.contains("sahil-relay.key.pem"), "{error}");
-    for name in ["peers", "parts"] {
+    for name in ["peers", "parts", "configuration"] {
         let deploy = root.join(format!("deploy/muscat-checkin-{name}.toml"));
         let error = Config::load_file(&deploy, none).expect_err("no key").to_string();
         let named = error.starts_with("peers.key.0.file: ") && error.contains("muscat-checkin-peers.key");
@@ -183,3 +183,119 @@
     let error = read(Some("on")).expect_err("a fault").to_string();
     assert!(error.starts_with("TULIPFALL_REPEATS") && error.contains("shared or off"), "{error}");
 }
+
+/// Reads the operator's file with the distribution of the destination set, after an edit.
+fn read_distribution(old: &str, new: &str) -> Result<Config, String> {
+    let place = folder("config-distribution");
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    let name = "muscat-checkin-configuration.toml";
+    let text = std::fs::read_to_string(root.join("deploy").join(name)).expect("the file");
+    assert!(text.contains(old), "{old}");
+    std::fs::write(place.join("muscat-checkin-peers.key"), [7; 32]).expect("a file");
+    std::fs::write(place.join(name), text.replacen(old, new, 1)).expect("a file");
+    Config::load_file(&place.join(name), none).map_err(|error| error.to_string())
+}
+
+#[test]
+fn the_distribution_of_the_destination_set_is_set_up_by_a_table_and_each_fault_is_named() {
+    let config = read_distribution("", "").expect("sound");
+    let distribution = config.fleet.as_ref().and_then(|fleet| fleet.distribution.as_ref()).expect("set up");
+    assert_eq!(distribution.controls.len(), 3);
+    // A sixteenth of the disk for each of two files, and the rest is shared as ever.
+    assert_eq!((distribution.file_room, config.limits.disk), (16_000_000, 256_000_000));
+    let key = "keys = [";
+    let cases = [
+        ("keys = [\"", "keys = [\"zz", "configuration.keys: has \"zz"),
+        (key, "keys = [\"00\", ", "configuration.keys: has \"00\", expected 64 hex digits"),
+        (key, "keys = [5, ", "configuration.keys: has 5, expected 64 hex digits"),
+        (key, "keys = []\nother = [", "configuration.keys: expected 1 to 16 texts of 64 hex digits"),
+        (key, "other = [", "configuration.keys: is missing"),
+        (key, &format!("keys = [\"{}\", ", "0".repeat(64)), "configuration.keys: control key 0 is not"),
+        (key, "first = 3\nkeys = [", "configuration.first: is not known here"),
+        (
+            "[[configuration.control]]\naddress = ",
+            "[[configuration.control]]\nat = ",
+            "configuration.control.0.address: is missing",
+        ),
+        (
+            "127.0.0.1:7956",
+            "control-0",
+            "configuration.control.0.address: is \"control-0\", expected address:port",
+        ),
+        (
+            "127.0.0.1:7957",
+            "127.0.0.1:7956",
+            "configuration.control.1.address: 127.0.0.1:7956 is another machine's",
+        ),
+        (
+            "127.0.0.1:7957",
+            "127.0.0.1:7946",
+            "configuration.control.1.address: 127.0.0.1:7946 is another machine's",
+        ),
+        (
+            "7958\"\nregion = \"salalah\"",
+            "7958\"\nregion = \"sur\"",
+            "configuration.control.2.region: \"sur\" has no zone",
+        ),
+        (
+            "name = \"salalah-a\"",
+            "name = \"muscat-a\"",
+            "configuration.zone.1.name: \"muscat-a\" is there twice",
+        ),
+        (
+            "name = \"salalah-a\"\nregion = \"salalah\"",
+            "name = \"salalah-a\"",
+            "configuration.zone.1.region: is missing",
+        ),
+        ("relays = { first = 2, count = 1 }", "", "configuration.zone.1.relays: is missing"),
+        ("first = 2, count = 1", "first = 2", "configuration.zone.1.relays.count: is missing"),
+        (
+            "first = 2, count = 1",
+            "first = 2, count = 2",
+            "configuration.zone.1.relays: goes beyond the 3 relays",
+        ),
+        (
+            "first = 2, count = 1",
+            "first = 1, count = 2",
+            "configuration.zone.1.relays: has relay 1, which is in another zone already",
+        ),
+        (
+            "first = 0, count = 2",
+            "first = 0, count = 1",
+            "configuration.zone: relay 1 of peers.all is in no zone",
+        ),
+        (
+            "first = 0, count = 2",
+            "first = 1, count = 1",
+            "configuration.zone: relay 0 of peers.all is in no zone",
+        ),
+    ];
+    for (old, new, expected) in cases {
+        let error = read_distribution(old, new).expect_err(new);
+        assert!(error.starts_with(expected), "{new}: {error}");
+    }
+}
+
+#[test]
+fn the_distribution_of_the_destination_set_needs_peers_control_machines_and_zones() {
+    let place = folder("config-distribution-parts");
+    let file = place.join("desk.toml");
+    let key = "72a46be3bd9848afd1d5c94e495aa1f57c24bcb4006f959de6e94995afafab44";
+    let zone = "[[configuration.zone]]\nname = \"a\"\nregion = \"r\"\nrelays = { first = 0, count = 1 }\n";
+    let control = "[[configuration.control]]\naddress = \"127.0.0.1:2\"\nregion = \"r\"\n";
+    let peers = "[peers]\nme = 0\nlisten = \"127.0.0.1:1\"\nall = [\"127.0.0.1:1\"]\n";
+    let read = |parts: &[&str]| {
+        let table = format!("[configuration]\nkeys = [\"{key}\"]\n");
+        std::fs::write(&file, [&template("desk"), table.as_str(), &parts.concat()].concat()).expect("a file");
+        Config::load_file(&file, none).map_err(|error| error.to_string())
+    };
+    let fault = |parts: &[&str]| read(parts).expect_err("a fault");
+    assert!(fault(&[zone, control]).starts_with("configuration: needs [peers]"));
+    assert!(fault(&[zone, peers]).starts_with("configuration.control: is missing"));
+    assert!(fault(&[control, peers]).starts_with("configuration.zone: is missing"));
+    assert!(read(&[zone, control, peers]).expect("sound").fleet.is_some());
+    // Without the table nothing of it is on.
+    std::fs::write(&file, [&template("desk"), peers].concat()).expect("a file");
+    let config = Config::load_file(&file, none).expect("sound");
+    assert!(config.fleet.expect("a fleet").distribution.is_none());
+}
--- a/tests/link.rs
+++ b/tests/link.rs
@@ -12,7 +12,7 @@
 use record::model::Evidence;
 use tokio::sync::{mpsc, watch};
 use tulipfall::exchange::{CallEnd, Clock};
-use tulipfall::fleet::{FactsSetup, Setup, ToFleet, ended, start};
+use tulipfall::fleet::{Before, FactsSetup, Setup, ToFleet, ended, start};
 use tulipfall::input::Input;
 use tulipfall::interface::{Outcome, Report, RuleFigures, TargetId, Word};
 use tulipfall::standing::Standing;
@@ -67,15 +67,15 @@
         repeats: false,
         facts: facts.then_some(FactsSetup { warm: false }),
         turns: None,
+        distribution: None,
         control: None,
     };
     let folder = std::env::temp_dir();
     let replaced = watch::channel(all.to_vec()).1;
     let process = (Arc::new(Standing::starting(clock)), Arc::default());
-    let started =
-        start(&setup, &RULES, (&folder, 0), (clock, u64::from(me)), (inputs, replaced), process).await;
-    let (tell, _, _) = started.expect("the port is free");
-    End { tell, inputs: received }
+    let (clock, before) = ((clock, u64::from(me)), Before::Configured(&[]));
+    let started = start(&setup, &RULES, (&folder, 0), clock, (inputs, replaced), process, before).await;
+    End { tell: started.expect("the port is free").tell, inputs: received }
 }
 
 fn end_of_call(outcome: Outcome, began: i64) -> CallEnd {
--- /dev/null
+++ b/tests/stand/control.rs
@@ -0,0 +1,160 @@
+//! A control machine in a test: publishes signed changes to relays over a UDP socket of its own.
+
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::mpsc::{Receiver, Sender, TryRecvError, channel};
+use std::thread::JoinHandle;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use destinations::{
+    ControlKeys, DestinationId, DestinationSet, Endpoint, Operation, Phase, SignedChange, SigningKey,
+};
+use fleet::incarnation;
+use fleet::keys::Keys;
+use fleet::link::{self, Link};
+use rollout::topology::{Machine, Place, Role, Topology};
+use rollout::{Config, Micros, Node, Peer};
+
+/// The region and zone of all machines of a test.
+const PLACE: Place = Place { region: 0, zone: 0 };
+/// The zone of control machines, which follows those of relays.
+const CONTROL_PLACE: Place = Place { region: 0, zone: 1 };
+/// The longest wait for a datagram, so that orders and timers are served in time.
+const TICK: Duration = Duration::from_millis(5);
+/// Bytes a second for those that lag behind: a snapshot is not to take the seconds that it takes in a large fleet.
+const SERVE_BYTES_PER_S: u32 = 1_000_000;
+/// More than any datagram of the link.
+const DATAGRAM: usize = 512;
+
+/// The key by which changes are signed.
+pub fn control_key() -> SigningKey {
+    SigningKey::from_bytes(&[7; 32])
+}
+
+/// A key that no relay knows.
+pub fn foreign_key() -> SigningKey {
+    SigningKey::from_bytes(&[8; 32])
+}
+
+/// A public key as a configuration has it.
+pub fn hex(key: &SigningKey) -> String {
+    key.verifying_key().to_bytes().iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Puts an endpoint under its address, which takes many calls a second.
+pub fn put(destination: i64, address: SocketAddr) -> Operation {
+    let endpoint = Endpoint {
+        id: address.to_string(),
+        address,
+        kind: "partner".into(),
+        zone: "here".into(),
+        phase: Phase::Ready,
+        rate_per_s: 50.0,
+    };
+    Operation::PutEndpoint { destination: DestinationId(destination), endpoint }
+}
+
+/// The next change of a set, signed and applied to it.
+pub fn next_change(set: &mut DestinationSet, operations: Vec<Operation>, key: &SigningKey) -> SignedChange {
+    let change = set.prepare_in_epoch(1, operations).expect("operations that fit");
+    set.apply(&change).expect("the next change");
+    SignedChange::sign(&change, key).expect("within bounds")
+}
+
+enum Order {
+    Publish(SignedChange),
+    Answer(bool),
+}
+
+/// The only control machine of a test. Its set begins empty.
+pub struct Control {
+    pub set: DestinationSet,
+    orders: Sender<Order>,
+    _thread: JoinHandle<()>,
+}
+
+impl Control {
+    /// Starts the machine on a socket, for relays at these addresses.
+    pub fn start(socket: UdpSocket, relays: Vec<SocketAddr>, keys: Keys) -> Self {
+        let (orders, received) = channel();
+        let thread = std::thread::spawn(move || Machinery::new(socket, relays, keys).run(&received));
+        Control { set: DestinationSet::new(), orders, _thread: thread }
+    }
+
+    /// Publishes a change, signed by the control key.
+    pub fn publish(&mut self, operations: Vec<Operation>) {
+        self.publish_signed_by(operations, &control_key());
+    }
+
+    /// Publishes a change, signed by any key.
+    pub fn publish_signed_by(&mut self, operations: Vec<Operation>, key: &SigningKey) {
+        let signed = next_change(&mut self.set, operations, key);
+        self.orders.send(Order::Publish(signed)).expect("the machine runs");
+    }
+
+    /// Whether it hears and says anything.
+    pub fn answer(&self, answer: bool) {
+        self.orders.send(Order::Answer(answer)).expect("the machine runs");
+    }
+}
+
+struct Machinery {
+    socket: UdpSocket,
+    relays: Vec<SocketAddr>,
+    link: Link,
+    node: Node,
+    answers: bool,
+}
+
+impl Machinery {
+    fn new(socket: UdpSocket, relays: Vec<SocketAddr>, keys: Keys) -> Self {
+        let now = now();
+        let me = relays.len() as Peer;
+        let machine = |peer| Machine { peer, place: PLACE, role: Role::Relay };
+        let mut machines: Vec<Machine> = (0..me).map(machine).collect();
+        machines.push(Machine { peer: me, place: CONTROL_PLACE, role: Role::Control });
+        let topology = Topology::new(&machines).expect("a topology").into();
+        // It would also send what the foreign key signed: relays are to refuse that by themselves.
+        let signers = [control_key(), foreign_key()].map(|key| key.verifying_key().to_bytes());
+        let signers = ControlKeys::new(&signers).expect("keys");
+        let link = link::Config {
+            me,
+            incarnation: incarnation(now),
+            peers: (0..=me).collect(),
+            keys,
+            bytes_per_s: 100_000,
+            asks: false,
+        };
+        let config = Config { serve_bytes_per_s: SERVE_BYTES_PER_S, ..Config::new(me, topology, signers, 1) };
+        let node = Node::new(config, DestinationSet::new(), None, now);
+        Machinery { socket, relays, link: Link::new(link, now), node, answers: true }
+    }
+
+    fn run(mut self, orders: &Receiver<Order>) {
+        self.socket.set_read_timeout(Some(TICK)).expect("a timeout");
+        let mut buffer = [0; DATAGRAM];
+        loop {
+            match orders.try_recv() {
+                Ok(Order::Publish(signed)) => self.node.publish(now(), signed).expect("the next change"),
+                Ok(Order::Answer(answers)) => self.answers = answers,
+                Err(TryRecvError::Empty) => {}
+                Err(TryRecvError::Disconnected) => return,
+            }
+            let came = self.socket.recv_from(&mut buffer);
+            if !self.answers {
+                continue;
+            }
+            self.node.confirm(now());
+            if let Ok((length, _)) = came {
+                // What it cannot read is nothing to it, as on any machine.
+                let _ = self.link.receive(now(), &buffer[..length], &mut [&mut self.node]);
+            }
+            for out in self.link.poll(now(), &mut [&mut self.node]) {
+                let _ = self.socket.send_to(&out.bytes, self.relays[usize::from(out.to)]);
+            }
+        }
+    }
+}
+
+fn now() -> Micros {
+    SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_micros() as Micros
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -2,6 +2,7 @@
 //! far deadline, and nothing sleeps to let something happen.
 #![allow(dead_code)]
 
+pub mod control;
 pub mod site;
 
 use std::io::{BufRead, BufReader, Read, Write};
@@ -41,6 +42,13 @@
         program
     }
 
+    /// Starts it, and does not wait.
+    pub fn launched(arguments: &[&str]) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_tulipfall"));
+        command.args(arguments);
+        Program::launch(command)
+    }
+
     /// Starts it with a listening socket as descriptor 3, as the platform does, and does not wait.
     pub fn inherit(listener: &TcpListener, environment: &[(&str, &str)]) -> Self {
         let mut command = Command::new("/bin/sh");
