--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -154,11 +154,12 @@
 
     /// Waits until that version is in its file.
     fn keeps(&self, version: &str) {
-        let (_, number) = version.split_once('.').expect("a version");
+        let number: u64 =
+            version.strip_prefix("1.").and_then(|number| number.parse().ok()).expect("a version");
         let kept = || std::fs::read_to_string(self.state("configuration.version")).unwrap_or_default();
         until(&format!("relay {} keeps {version}", self.number), || {
             let kept: Value = serde_json::from_str(&kept()).unwrap_or_default();
-            kept["number"].to_string() == number
+            kept["number"] == number
         });
     }
 
@@ -327,6 +328,43 @@
     assert!(base.heard.try_recv().is_err() && first.heard.try_recv().is_err());
 }
 
+#[test]
+fn a_process_that_takes_over_goes_on_with_the_endpoints_of_the_one_before() {
+    let (base, first, last) = (Partner::start(), Partner::start(), Partner::start());
+    let mut fleet = Fleet::start("configuration-handover", 1, base.address);
+    let Fleet { relays, control } = &mut fleet;
+    let relay = &mut relays[0];
+    relay.kill();
+    let clients = TcpListener::bind("127.0.0.1:0").expect("a socket");
+    let address = clients.local_addr().expect("an address").to_string();
+    let text = std::fs::read_to_string(relay.file()).expect("a file");
+    write(
+        &relay.file(),
+        text.replace("listen = \"127.0.0.1:0\"", &format!("listen = \"{address}\"")).as_bytes(),
+    );
+    let file = relay.file().display().to_string();
+    let launch = || {
+        let mut program = Program::inherit_with(&clients, &["run", "--config", &file], &[]);
+        program.wait_ready(1);
+        program
+    };
+    let mut old = launch();
+    control.publish(vec![put(1, first.address)]);
+    relay.reaches("1.1");
+    relay.program = Some(launch());
+    assert!(old.ended_well(), "with nothing left it goes by itself");
+    // The new one may not have the file of this version, but has its endpoints.
+    relay.hand_in("handed-over");
+    assert_eq!(first.next(), "handed-over");
+    let removal =
+        Operation::RemoveEndpoint { destination: DestinationId(1), endpoint_id: first.address.to_string() };
+    control.publish(vec![put(1, last.address), removal]);
+    relay.reaches("1.2");
+    relay.hand_in("after");
+    assert_eq!(last.next(), "after");
+    assert!(base.heard.try_recv().is_err() && first.heard.try_recv().is_err());
+}
+
 /// A file of a set, as a relay writes it.
 fn set_file(set: &DestinationSet, change: &[u8]) -> Vec<u8> {
     let mut bytes = (change.len() as u32).to_le_bytes().to_vec();
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -51,8 +51,14 @@
 
     /// Starts it with a listening socket as descriptor 3, as the platform does, and does not wait.
     pub fn inherit(listener: &TcpListener, environment: &[(&str, &str)]) -> Self {
+        Self::inherit_with(listener, &[], environment)
+    }
+
+    /// The same, with arguments.
+    pub fn inherit_with(listener: &TcpListener, arguments: &[&str], environment: &[(&str, &str)]) -> Self {
         let mut command = Command::new("/bin/sh");
-        command.args(["-c", "exec \"$0\" 3<&0 0</dev/null", env!("CARGO_BIN_EXE_tulipfall")]);
+        command.args(["-c", "exec \"$0\" \"$@\" 3<&0 0</dev/null", env!("CARGO_BIN_EXE_tulipfall")]);
+        command.args(arguments);
         let socket: std::os::fd::OwnedFd = listener.try_clone().expect("the socket").into();
         command.envs(environment.iter().copied()).env("PROXY_ACCEPT_FD", "3").stdin(socket);
         Program::launch(command)
