Test the destination set against bad input, and hold it as canonical bytes

A set with two endpoints for each destination would have passed 8 MB as structures. Endpoints are now kept as the canonical bytes that the digest covers, which also drops the table of shared names.

--- a/crates/destinations/src/bucket.rs
+++ b/crates/destinations/src/bucket.rs
@@ -5,8 +5,8 @@
 use thiserror::Error;
 
 pub use crate::codec::CodecError;
-use crate::codec::{Reader, put_destination};
-use crate::stored::{Placements, StoredDestination};
+use crate::codec::{Reader, put_destination, put_id};
+use crate::stored::StoredDestination;
 use crate::{DestinationChange, DestinationId, Endpoint};
 
 /// The number of buckets of a set.
@@ -60,25 +60,23 @@
         let mut replacements = replacements.iter().peekable();
         for held in &self.0 {
             while let Some((id, endpoints)) = replacements.next_if(|(id, _)| **id < held.id) {
-                put_destination(&mut out, *id, endpoints.iter().map(Endpoint::as_ref));
+                put_destination(&mut out, *id, endpoints);
             }
-            match replacements.next_if(|(id, _)| **id == held.id) {
-                Some((id, endpoints)) => {
-                    put_destination(&mut out, *id, endpoints.iter().map(Endpoint::as_ref));
-                }
-                None => put_destination(&mut out, held.id, held.endpoints()),
+            if let Some((id, endpoints)) = replacements.next_if(|(id, _)| **id == held.id) {
+                put_destination(&mut out, *id, endpoints);
+            } else {
+                put_id(&mut out, held.id);
+                out.extend_from_slice(held.body());
             }
         }
-        for (id, endpoints) in replacements {
-            put_destination(&mut out, *id, endpoints.iter().map(Endpoint::as_ref));
-        }
+        replacements.for_each(|(id, endpoints)| put_destination(&mut out, *id, endpoints));
         out
     }
 
     /// What becomes of the destinations if this bucket takes the place of `before`.
     pub(crate) fn changes_from(&self, before: &Self) -> Vec<DestinationChange> {
         let kept_or_added = self.iter().filter_map(|after| match before.get(after.id) {
-            Some(held) if held.endpoints().eq(after.endpoints()) => None,
+            Some(held) if held.body() == after.body() => None,
             held => DestinationChange::between(after.id, held.is_some(), true),
         });
         let gone = before.iter().filter(|held| self.get(held.id).is_none());
@@ -86,24 +84,24 @@
     }
 
     /// Decodes the canonical bytes of the bucket `index`.
-    pub(crate) fn decode(index: u16, bytes: &[u8], placements: &mut Placements) -> Result<Self, BucketError> {
+    pub(crate) fn decode(index: u16, bytes: &[u8]) -> Result<Self, BucketError> {
         let mut destinations: Vec<StoredDestination> = Vec::new();
         let mut reader = Reader::new(bytes);
-        while let Some((id, endpoints)) = reader.destination()? {
+        while let Some((id, body)) = reader.destination()? {
             if bucket_of(id) != index {
                 return Err(BucketError::Misplaced(id));
             }
             if destinations.last().is_some_and(|last| last.id >= id) {
                 return Err(CodecError::Order.into());
             }
-            destinations.push(StoredDestination::new(id, endpoints, placements));
+            destinations.push(StoredDestination::from_body(id, body));
         }
         destinations.shrink_to_fit();
         Ok(Self(destinations))
     }
 
     /// Takes on the endpoints of one destination, or removes it if there are none.
-    pub(crate) fn replace(&mut self, id: DestinationId, endpoints: &[Endpoint], placements: &mut Placements) {
+    pub(crate) fn replace(&mut self, id: DestinationId, endpoints: &[Endpoint]) {
         let position = self.position(id);
         if endpoints.is_empty() {
             if let Ok(position) = position {
@@ -111,7 +109,7 @@
             }
             return;
         }
-        let destination = StoredDestination::new(id, endpoints.iter().map(Endpoint::as_ref), placements);
+        let destination = StoredDestination::new(id, endpoints);
         match position {
             Ok(position) => self.0[position] = destination,
             Err(position) => {
--- a/crates/destinations/src/codec.rs
+++ b/crates/destinations/src/codec.rs
@@ -2,7 +2,8 @@
 //!
 //! | part | bytes |
 //! | --- | --- |
-//! | destination | id `i64`, count of endpoints `u8` of 1 or more, the endpoints by ascending id |
+//! | destination | id `i64`, body |
+//! | body | count of endpoints `u8` of 1 or more, the endpoints by ascending id |
 //! | endpoint | id, address, kind, zone, phase `u8` (0 ready, 1 draining), rate `f64` |
 //! | id, kind, zone | length `u8`, UTF-8 |
 //! | address | 4 or 6 `u8`, octets, port `u16` |
@@ -13,27 +14,33 @@
 
 use thiserror::Error;
 
-use crate::{DestinationId, EndpointError, EndpointRef, MAX_ENDPOINTS, Phase};
+use crate::{DestinationId, Endpoint, EndpointError, EndpointRef, MAX_ENDPOINTS, Phase};
 
 /// Appends a destination; nothing for one without endpoints, as that is not in the set.
-///
-/// The endpoints are valid, ascend by id and are no more than [`MAX_ENDPOINTS`].
-pub(crate) fn put_destination<'a>(
-    out: &mut Vec<u8>, id: DestinationId, endpoints: impl ExactSizeIterator<Item = EndpointRef<'a>>,
-) {
-    if endpoints.len() == 0 {
-        return;
+pub(crate) fn put_destination(out: &mut Vec<u8>, id: DestinationId, endpoints: &[Endpoint]) {
+    if !endpoints.is_empty() {
+        put_id(out, id);
+        put_body(out, endpoints);
     }
+}
+
+/// Appends the part of a destination before its body.
+pub(crate) fn put_id(out: &mut Vec<u8>, id: DestinationId) {
     out.extend_from_slice(&id.0.to_le_bytes());
+}
+
+/// Appends the body of a destination: its endpoints, which are valid, ascend by id and are no more than
+/// [`MAX_ENDPOINTS`].
+pub(crate) fn put_body(out: &mut Vec<u8>, endpoints: &[Endpoint]) {
     out.push(endpoints.len() as u8);
-    endpoints.for_each(|endpoint| put_endpoint(out, &endpoint));
+    endpoints.iter().for_each(|endpoint| put_endpoint(out, endpoint));
 }
 
-fn put_endpoint(out: &mut Vec<u8>, endpoint: &EndpointRef<'_>) {
-    put_name(out, endpoint.id);
+fn put_endpoint(out: &mut Vec<u8>, endpoint: &Endpoint) {
+    put_name(out, &endpoint.id);
     put_address(out, endpoint.address);
-    put_name(out, endpoint.kind);
-    put_name(out, endpoint.zone);
+    put_name(out, &endpoint.kind);
+    put_name(out, &endpoint.zone);
     out.push(match endpoint.phase {
         Phase::Ready => 0,
         Phase::Draining => 1,
@@ -61,7 +68,7 @@
 }
 
 /// Reads canonical bytes from front to back.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Reader<'a>(&'a [u8]);
 
 impl<'a> Reader<'a> {
@@ -69,23 +76,33 @@
         Self(bytes)
     }
 
-    /// The next destination and its endpoints; none at the end.
-    pub(crate) fn destination(
-        &mut self,
-    ) -> Result<Option<(DestinationId, Vec<EndpointRef<'a>>)>, CodecError> {
+    /// The next destination and its body, checked; none at the end.
+    pub(crate) fn destination(&mut self) -> Result<Option<(DestinationId, &'a [u8])>, CodecError> {
         if self.0.is_empty() {
             return Ok(None);
         }
         let id = DestinationId(i64::from_le_bytes(self.array()?));
+        let start = self.0;
+        self.check_body()?;
+        let (body, _) = start.split_at_checked(start.len() - self.0.len()).ok_or(CodecError::Cut)?;
+        Ok(Some((id, body)))
+    }
+
+    fn check_body(&mut self) -> Result<(), CodecError> {
         let count = usize::from(self.byte()?);
         if count == 0 || count > MAX_ENDPOINTS {
             return Err(CodecError::EndpointCount(count));
         }
-        let endpoints: Vec<_> = (0..count).map(|_| self.endpoint()).collect::<Result<_, _>>()?;
-        if !endpoints.is_sorted_by(|one, next| one.id < next.id) {
-            return Err(CodecError::Order);
+        let mut last = "";
+        for _ in 0..count {
+            let endpoint = self.endpoint()?;
+            // An id is not empty, so the first one passes, too.
+            if endpoint.id <= last {
+                return Err(CodecError::Order);
+            }
+            last = endpoint.id;
         }
-        Ok(Some((id, endpoints)))
+        Ok(())
     }
 
     fn endpoint(&mut self) -> Result<EndpointRef<'a>, CodecError> {
@@ -136,6 +153,36 @@
     }
 }
 
+/// The endpoints in a body that was checked before.
+#[derive(Debug, Clone)]
+pub(crate) struct Endpoints<'a> {
+    reader: Reader<'a>,
+    left: u8,
+}
+
+impl<'a> Endpoints<'a> {
+    pub(crate) fn new(body: &'a [u8]) -> Self {
+        let mut reader = Reader::new(body);
+        let left = reader.byte().unwrap_or(0);
+        Self { reader, left }
+    }
+}
+
+impl<'a> Iterator for Endpoints<'a> {
+    type Item = EndpointRef<'a>;
+
+    fn next(&mut self) -> Option<EndpointRef<'a>> {
+        self.left = self.left.checked_sub(1)?;
+        self.reader.endpoint().ok()
+    }
+
+    fn size_hint(&self) -> (usize, Option<usize>) {
+        (self.left.into(), Some(self.left.into()))
+    }
+}
+
+impl ExactSizeIterator for Endpoints<'_> {}
+
 /// Why bytes are not canonical.
 #[derive(Debug, Clone, PartialEq, Error)]
 pub enum CodecError {
--- a/crates/destinations/src/persist.rs
+++ b/crates/destinations/src/persist.rs
@@ -14,7 +14,6 @@
 
 use crate::bucket::{BUCKETS, Bucket, MAX_BUCKET_BYTES};
 use crate::digest::{DigestTree, bucket_digest};
-use crate::stored::Placements;
 use crate::{BucketError, DestinationSet, Digest, Version};
 
 const MAGIC: &[u8; 8] = b"tfdests1";
@@ -55,7 +54,6 @@
     header: Option<(Version, Digest)>,
     buckets: Vec<Bucket>,
     bucket_digests: Vec<Digest>,
-    placements: Placements,
 }
 
 impl Default for Decoder {
@@ -73,7 +71,6 @@
             header: None,
             buckets: Vec::new(),
             bucket_digests: Vec::new(),
-            placements: Placements::default(),
         }
     }
 
@@ -82,15 +79,16 @@
     /// # Errors
     /// A part that is now whole is not sound. The decoder is of no more use.
     pub fn push(&mut self, bytes: &[u8]) -> Result<(), FileError> {
-        self.pending.extend_from_slice(bytes);
-        let pending = std::mem::take(&mut self.pending);
-        let mut rest = &pending[..];
-        while let Some(length) = self.next_part(rest)? {
-            let Some((part, after)) = rest.split_at_checked(length) else { break };
+        let mut pending = std::mem::take(&mut self.pending);
+        pending.extend_from_slice(bytes);
+        let mut taken = 0;
+        while let Some(length) = self.next_part(&pending[taken..])? {
+            let Some(part) = pending[taken..].get(..length) else { break };
             self.take_part(part)?;
-            rest = after;
+            taken += length;
         }
-        self.pending = rest.to_vec();
+        pending.drain(..taken);
+        self.pending = pending;
         Ok(())
     }
 
@@ -110,7 +108,7 @@
         if digests.root() != digest {
             return Err(FileError::Digest);
         }
-        Ok(DestinationSet::assemble(version, self.buckets, digests, self.placements))
+        Ok(DestinationSet::assemble(version, self.buckets, digests))
     }
 
     /// The length of the next part; none if that is not yet known or only the checksum is to come.
@@ -137,7 +135,7 @@
         }
         let index = self.buckets.len() as u16;
         let bytes = part.get(LENGTH_BYTES..).ok_or(FileError::Cut)?;
-        self.buckets.push(Bucket::decode(index, bytes, &mut self.placements)?);
+        self.buckets.push(Bucket::decode(index, bytes)?);
         self.bucket_digests.push(bucket_digest(index, bytes));
         Ok(())
     }
--- a/crates/destinations/src/set.rs
+++ b/crates/destinations/src/set.rs
@@ -5,7 +5,7 @@
 use crate::bucket::{BUCKETS, Bucket, bucket_of};
 use crate::digest::DigestTree;
 use crate::staging::{Staged, owned_endpoints};
-use crate::stored::{Placements, StoredDestination};
+use crate::stored::StoredDestination;
 use crate::{
     Change, DecodeError, DestinationId, Digest, Endpoint, EndpointError, EndpointRef, Operation, Version,
 };
@@ -17,7 +17,6 @@
     length: usize,
     buckets: Vec<Bucket>,
     digests: DigestTree,
-    placements: Placements,
 }
 
 impl Default for DestinationSet {
@@ -34,7 +33,6 @@
             length: 0,
             buckets: (0..BUCKETS).map(|_| Bucket::default()).collect(),
             digests: DigestTree::empty(),
-            placements: Placements::default(),
         }
     }
 
@@ -133,17 +131,14 @@
     }
 
     /// A set of buckets that were checked against the digests.
-    pub(crate) fn assemble(
-        version: Version, buckets: Vec<Bucket>, digests: DigestTree, placements: Placements,
-    ) -> Self {
+    pub(crate) fn assemble(version: Version, buckets: Vec<Bucket>, digests: DigestTree) -> Self {
         let length = buckets.iter().map(Bucket::len).sum();
-        Self { version, length, buckets, digests, placements }
+        Self { version, length, buckets, digests }
     }
 
     /// Takes on whole buckets with their digests and, with them, another version.
     pub(crate) fn replace_buckets(
         &mut self, version: Version, buckets: impl IntoIterator<Item = (u16, Bucket)>, digests: DigestTree,
-        placements: Placements,
     ) {
         for (index, bucket) in buckets {
             self.length = self.length + bucket.len() - self.held_bucket(index).len();
@@ -151,8 +146,6 @@
         }
         self.version = version;
         self.digests = digests;
-        self.placements.absorb(placements);
-        self.placements.release_unused();
     }
 
     fn check_version(&self, got: Version) -> Result<(), ApplyError> {
@@ -193,12 +186,11 @@
             changes.extend(DestinationChange::between(id, self.get(id).is_some(), !endpoints.is_empty()));
             let bucket = &mut self.buckets[usize::from(bucket_of(id))];
             self.length -= bucket.len();
-            bucket.replace(id, endpoints, &mut self.placements);
+            bucket.replace(id, endpoints);
             self.length += bucket.len();
         }
         self.version = version;
         self.digests = digests;
-        self.placements.release_unused();
         Applied { version, changes }
     }
 }
--- a/crates/destinations/src/snapshot.rs
+++ b/crates/destinations/src/snapshot.rs
@@ -8,7 +8,6 @@
 use crate::bucket::{BUCKETS, Bucket, MAX_BUCKET_BYTES};
 use crate::digest::{DigestTree, bucket_digest};
 use crate::set::DestinationChange;
-use crate::stored::Placements;
 use crate::{Applied, BucketError, Change, DestinationSet, Digest, Version};
 
 /// The digests of a whole set. The signed change of its version vouches for it, so a manifest from anyone may be
@@ -102,7 +101,6 @@
     digests: DigestTree,
     /// None until the bucket has come.
     buckets: BTreeMap<u16, Option<Bucket>>,
-    placements: Placements,
 }
 
 impl SnapshotInstall {
@@ -115,7 +113,7 @@
         check_newer(set.version(), manifest.version)?;
         let digests = manifest.check(change)?;
         let buckets = set.differing(&manifest).into_iter().map(|index| (index, None)).collect();
-        Ok(Self { manifest, digests, buckets, placements: Placements::default() })
+        Ok(Self { manifest, digests, buckets })
     }
 
     /// The version the set will have.
@@ -144,7 +142,7 @@
         if self.manifest.bucket_digests.get(usize::from(index)) != Some(&bucket_digest(index, bytes)) {
             return Err(InstallError::BucketDigest(index));
         }
-        *place = Some(Bucket::decode(index, bytes, &mut self.placements)?);
+        *place = Some(Bucket::decode(index, bytes)?);
         Ok(())
     }
 
@@ -164,8 +162,7 @@
         let changes = self.changes(set);
         let buckets = std::mem::take(&mut self.buckets);
         let buckets = buckets.into_iter().filter_map(|(index, bucket)| Some((index, bucket?)));
-        let placements = std::mem::take(&mut self.placements);
-        set.replace_buckets(self.manifest.version, buckets, self.digests.clone(), placements);
+        set.replace_buckets(self.manifest.version, buckets, self.digests.clone());
         Ok(Applied { version: self.manifest.version, changes })
     }
 
--- a/crates/destinations/src/stored.rs
+++ b/crates/destinations/src/stored.rs
@@ -1,104 +1,36 @@
 //! The compact form in which a set holds its destinations.
 
-use std::collections::BTreeSet;
-use std::net::{IpAddr, SocketAddr};
-use std::sync::Arc;
+use crate::codec::{Endpoints, put_body};
+use crate::{DestinationId, Endpoint};
 
-use crate::{DestinationId, EndpointRef, Phase};
-
-/// What many endpoints have in common.
-#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) struct Placement {
-    kind: Box<str>,
-    zone: Box<str>,
-}
-
-/// The fewest placements at which those out of use are looked for.
-const RELEASE_FLOOR: usize = 64;
-
-/// Holds each [`Placement`] once.
-#[derive(Debug, Default)]
-pub(crate) struct Placements {
-    held: BTreeSet<Arc<Placement>>,
-    in_use_last: usize,
-}
-
-impl Placements {
-    fn intern(&mut self, kind: &str, zone: &str) -> Arc<Placement> {
-        let wanted = Placement { kind: kind.into(), zone: zone.into() };
-        if let Some(held) = self.held.get(&wanted) {
-            return Arc::clone(held);
-        }
-        let placement = Arc::new(wanted);
-        self.held.insert(Arc::clone(&placement));
-        placement
-    }
-
-    /// Takes in the placements of a snapshot. One that was here already stays with the snapshot's endpoints.
-    pub(crate) fn absorb(&mut self, other: Self) {
-        self.held.extend(other.held);
-    }
-
-    /// Drops placements that no endpoint has any more, once there may be as many of them as there are in use.
-    pub(crate) fn release_unused(&mut self) {
-        if self.held.len() > RELEASE_FLOOR.max(2 * self.in_use_last) {
-            self.held.retain(|placement| Arc::strong_count(placement) > 1);
-            self.in_use_last = self.held.len();
-        }
-    }
-}
-
-/// An endpoint in about 56 bytes and its id.
+/// A destination and the canonical bytes of its endpoints: 24 bytes and about 30 for each endpoint.
+///
+/// The bytes were made or checked by the codec, so reading them does not fail.
 #[derive(Debug)]
-pub(crate) struct StoredEndpoint {
-    id: Box<str>,
-    placement: Arc<Placement>,
-    rate_per_s: f64,
-    ip: IpAddr,
-    port: u16,
-    phase: Phase,
+pub(crate) struct StoredDestination {
+    pub(crate) id: DestinationId,
+    body: Box<[u8]>,
 }
 
-impl StoredEndpoint {
-    fn new(endpoint: &EndpointRef<'_>, placements: &mut Placements) -> Self {
-        Self {
-            id: endpoint.id.into(),
-            placement: placements.intern(endpoint.kind, endpoint.zone),
-            rate_per_s: endpoint.rate_per_s,
-            ip: endpoint.address.ip(),
-            port: endpoint.address.port(),
-            phase: endpoint.phase,
-        }
+impl StoredDestination {
+    /// Takes endpoints that are valid and ascend by id.
+    pub(crate) fn new(id: DestinationId, endpoints: &[Endpoint]) -> Self {
+        let mut body = Vec::new();
+        put_body(&mut body, endpoints);
+        Self { id, body: body.into() }
     }
 
-    pub(crate) fn view(&self) -> EndpointRef<'_> {
-        EndpointRef {
-            id: &self.id,
-            address: SocketAddr::new(self.ip, self.port),
-            kind: &self.placement.kind,
-            zone: &self.placement.zone,
-            phase: self.phase,
-            rate_per_s: self.rate_per_s,
-        }
+    /// Takes a body as [`Reader::destination`](crate::codec::Reader::destination) gives it.
+    pub(crate) fn from_body(id: DestinationId, body: &[u8]) -> Self {
+        Self { id, body: body.into() }
     }
-}
 
-/// A destination and its endpoints, by ascending id.
-#[derive(Debug)]
-pub(crate) struct StoredDestination {
-    pub(crate) id: DestinationId,
-    endpoints: Box<[StoredEndpoint]>,
-}
-
-impl StoredDestination {
-    pub(crate) fn new<'a>(
-        id: DestinationId, endpoints: impl IntoIterator<Item = EndpointRef<'a>>, placements: &mut Placements,
-    ) -> Self {
-        let endpoints = endpoints.into_iter().map(|endpoint| StoredEndpoint::new(&endpoint, placements));
-        Self { id, endpoints: endpoints.collect() }
+    /// The canonical bytes of the endpoints.
+    pub(crate) fn body(&self) -> &[u8] {
+        &self.body
     }
 
-    pub(crate) fn endpoints(&self) -> impl ExactSizeIterator<Item = EndpointRef<'_>> {
-        self.endpoints.iter().map(StoredEndpoint::view)
+    pub(crate) fn endpoints(&self) -> Endpoints<'_> {
+        Endpoints::new(&self.body)
     }
 }
--- /dev/null
+++ b/crates/destinations/tests/file.rs
@@ -0,0 +1,65 @@
+//! A set comes back from its file as it was, or not at all.
+
+mod common;
+
+use common::{content, filled, publish, put};
+use destinations::persist::{Decoder, FileError, encode};
+use destinations::{BucketError, DestinationSet};
+
+fn read(file: &[u8], piece: usize) -> Result<DestinationSet, FileError> {
+    let mut decoder = Decoder::new();
+    file.chunks(piece).try_for_each(|piece| decoder.push(piece))?;
+    decoder.finish()
+}
+
+#[test]
+fn a_set_comes_back_whatever_the_pieces() {
+    let (set, _) = filled(500);
+    let file = encode(&set).collect::<Vec<_>>().concat();
+    for piece in [1, 7, 4096, file.len()] {
+        let mut back = read(&file, piece).unwrap();
+        assert_eq!((back.manifest(), back.len()), (set.manifest(), set.len()));
+        assert_eq!(content(&back), content(&set));
+        publish(&mut back, vec![put(1, "b", 1)]);
+    }
+}
+
+/// Every byte of the header, of the first and last buckets and of the checksum, and places all over the rest, where
+/// most buckets are empty.
+fn places(length: usize) -> impl Iterator<Item = usize> {
+    (0..200).chain((200..length - 200).step_by(7)).chain(length - 200..length)
+}
+
+#[test]
+fn a_file_cut_at_any_byte_is_refused() {
+    let file = encode(&filled(30).0).collect::<Vec<_>>().concat();
+    for length in places(file.len()) {
+        assert_eq!(read(&file[..length], 4096).err(), Some(FileError::Cut), "cut at {length}");
+    }
+}
+
+#[test]
+fn a_file_altered_at_any_byte_is_refused() {
+    let mut file = encode(&filled(30).0).collect::<Vec<_>>().concat();
+    for position in places(file.len()) {
+        file[position] ^= 1;
+        assert!(read(&file, 4096).is_err(), "altered at {position}");
+        file[position] ^= 1;
+    }
+    assert!(read(&file, 4096).is_ok());
+}
+
+#[test]
+fn a_file_says_what_is_wrong_with_it() {
+    let mut file = encode(&filled(5).0).collect::<Vec<_>>().concat();
+    let checksum = file.len() - 1;
+    file[checksum] ^= 1;
+    assert_eq!(read(&file, 4096).err(), Some(FileError::Checksum));
+    file[checksum] ^= 1;
+    file.push(0);
+    assert_eq!(read(&file, 4096).err(), Some(FileError::Trailing));
+    file[52..56].copy_from_slice(&u32::MAX.to_le_bytes());
+    assert_eq!(read(&file, 4096).err(), Some(BucketError::TooLarge(u32::MAX as usize).into()));
+    file[0] = b'x';
+    assert_eq!(read(&file, 4096).err(), Some(FileError::Magic));
+}
