Keep the last signed change in the log, and show that buckets have one encoding

The log now never lets go of its last change and restarts from one. A property test shows that a bucket that is taken in comes out byte for byte.

--- a/crates/destinations/src/log.rs
+++ b/crates/destinations/src/log.rs
@@ -6,7 +6,7 @@
 
 use crate::{SignedChange, Version};
 
-/// How much a log keeps; what comes first ends it.
+/// How much a log keeps; whichever limit is met first holds. The last change is kept in any case.
 #[derive(Debug, Clone, Copy)]
 pub struct LogLimits {
     /// The most changes.
@@ -30,9 +30,15 @@
         Self { limits, base, changes: VecDeque::new(), bytes: 0 }
     }
 
-    /// Forgets all changes, as after a snapshot was installed at this version.
-    pub fn reset(&mut self, base: Version) {
-        *self = Self::new(base, self.limits);
+    /// Forgets all changes and keeps this one alone, as after a snapshot for which it vouched.
+    pub fn reset(&mut self, version: Version, change: SignedChange) {
+        *self = Self::new(Version { number: version.number.saturating_sub(1), ..version }, self.limits);
+        self.keep(change);
+    }
+
+    /// The last change, which vouches for a snapshot of [`ChangeLog::version`].
+    pub fn last(&self) -> Option<&SignedChange> {
+        self.changes.back()
     }
 
     /// The version after the last change.
@@ -50,22 +56,21 @@
         self.changes.is_empty()
     }
 
-    /// Keeps a change that was verified and applied, and lets go of the oldest ones beyond the limits. The first
-    /// change of a newer epoch lets go of the whole older one.
+    /// Keeps a change that was verified and applied, and lets go of the oldest ones beyond the limits, but never of
+    /// the last. The first change of a newer epoch lets go of the whole older one.
     ///
     /// # Errors
     /// The version does not follow the last one.
     pub fn push(&mut self, version: Version, change: SignedChange) -> Result<(), LogError> {
         let have = self.version();
-        let number = version.number.checked_sub(1).ok_or(LogError { have, got: version })?;
-        if version.epoch > have.epoch {
-            self.reset(Version { number, ..version });
-        } else if have.next() != Some(version) {
+        if version.epoch > have.epoch && version.number > 0 {
+            self.reset(version, change);
+            return Ok(());
+        }
+        if have.next() != Some(version) {
             return Err(LogError { have, got: version });
         }
-        self.bytes += change.encoded_len();
-        self.changes.push_back(change);
-        self.compact();
+        self.keep(change);
         Ok(())
     }
 
@@ -79,13 +84,19 @@
         (skipped <= self.changes.len()).then(|| self.changes.iter().skip(skipped))
     }
 
-    fn compact(&mut self) {
-        while self.changes.len() > self.limits.changes || self.bytes > self.limits.bytes {
+    fn keep(&mut self, change: SignedChange) {
+        self.bytes += change.encoded_len();
+        self.changes.push_back(change);
+        while self.exceeds_limits() && self.changes.len() > 1 {
             let Some(oldest) = self.changes.pop_front() else { return };
             self.bytes -= oldest.encoded_len();
             self.base.number += 1;
         }
     }
+
+    fn exceeds_limits(&self) -> bool {
+        self.changes.len() > self.limits.changes || self.bytes > self.limits.bytes
+    }
 }
 
 /// A change does not follow the last one.
--- a/crates/destinations/tests/size.rs
+++ b/crates/destinations/tests/size.rs
@@ -5,8 +5,8 @@
 use std::alloc::System;
 use std::time::{Duration, Instant};
 
-use common::{publish, put};
-use destinations::{DestinationSet, SnapshotInstall, persist};
+use common::{control_keys, publish, put, signed};
+use destinations::{Change, DestinationSet, SnapshotInstall, persist};
 use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
 
 #[global_allocator]
@@ -71,15 +71,26 @@
     assert!(asked < 200_000, "a change copies {asked} bytes");
 
     let last = publish(&mut set, vec![put(7, "d", 83)]);
+    let signed = signed(&last);
+    let keys = control_keys(&[1, 2, 3]);
+    let start = Instant::now();
+    signed.verify(&keys).expect("a good signature");
+    println!("a signature was verified in {:?}", start.elapsed());
+    install(&set, &last, &mut behind);
+    install(&set, &last, &mut DestinationSet::new());
+}
+
+/// Brings a set to another, and prints what that took.
+fn install(from: &DestinationSet, last: &Change, set: &mut DestinationSet) {
     let region = Region::new(ALLOCATOR);
     let start = Instant::now();
-    let mut install = SnapshotInstall::begin(&behind, set.manifest(), &last).expect("a sound manifest");
+    let mut install = SnapshotInstall::begin(set, from.manifest(), last).expect("a sound manifest");
     let wanted: Vec<u16> = install.missing().collect();
     for index in &wanted {
-        install.take(*index, &set.bucket(*index).expect("a bucket")).expect("a sound bucket");
+        install.take(*index, &from.bucket(*index).expect("a bucket")).expect("a sound bucket");
     }
     println!("{} buckets, {} bytes held beside the set until the swap", wanted.len(), held(&region));
-    install.finish(&mut behind).expect("all buckets are there");
+    install.finish(set).expect("all buckets are there");
     println!("the install took {:?}", start.elapsed());
-    assert_eq!(behind.manifest(), set.manifest());
+    assert_eq!(set.manifest(), from.manifest());
 }
--- a/crates/destinations/tests/snapshot.rs
+++ b/crates/destinations/tests/snapshot.rs
@@ -7,6 +7,7 @@
     BUCKETS, BucketError, Change, CodecError, DestinationChange, DestinationId, DestinationSet, Digest,
     InstallError, MAX_BUCKET_BYTES, Manifest, ManifestError, SnapshotInstall, Version, bucket_of,
 };
+use proptest::prelude::*;
 
 /// A set that is some changes ahead of another, the last of these changes, and the other set.
 fn apart() -> (DestinationSet, Change, DestinationSet) {
@@ -161,3 +162,29 @@
         assert_eq!(install.take(index, &bytes), Err(InstallError::Bucket(error)));
     }
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// There is one encoding of a bucket: what is taken in comes out as it was.
+    #[test]
+    fn a_vouched_bucket_is_refused_or_canonical(
+        mut bytes in prop::collection::vec(any::<u8>(), 0..80), place in any::<usize>(), alter in any::<bool>(),
+    ) {
+        let index = bucket_of(DestinationId(1));
+        if alter {
+            let byte = bytes.first().copied().unwrap_or(1);
+            bytes = filled(2).0.bucket(index).unwrap();
+            let place = place % bytes.len();
+            bytes[place] ^= byte;
+        }
+        let (manifest, change) = common::vouched(index, &bytes);
+        let mut set = DestinationSet::new();
+        let mut install = SnapshotInstall::begin(&set, manifest, &change).unwrap();
+        let missing = install.missing().collect::<Vec<_>>();
+        if missing.iter().try_for_each(|index| install.take(*index, &bytes)).is_ok() {
+            install.finish(&mut set).unwrap();
+            prop_assert_eq!(set.bucket(index).unwrap(), bytes);
+        }
+    }
+}
--- a/crates/destinations/tests/wire.rs
+++ b/crates/destinations/tests/wire.rs
@@ -119,6 +119,14 @@
     let mut log = ChangeLog::new(version(0, 0), limits);
     (1..=5).for_each(|number| log.push(version(0, number), change.clone()).unwrap());
     assert_eq!((log.len(), since(&log, version(0, 3))), (2, Some(2)));
+
+    log.reset(version(0, 40), change.clone());
+    assert_eq!((log.version(), log.last()), (version(0, 40), Some(&change)));
+    assert_eq!((since(&log, version(0, 38)), since(&log, version(0, 39))), (None, Some(1)));
+    let mut log = ChangeLog::new(version(0, 0), LogLimits { changes: 0, bytes: 0 });
+    (1..=2).for_each(|number| log.push(version(0, number), change.clone()).unwrap());
+    assert_eq!((log.len(), log.last(), log.is_empty()), (1, Some(&change), false));
+    assert!(log.push(version(1, 0), change).is_err());
 }
 
 proptest! {
