Run the membership of many hollow relays in simulated time

Everything between relays was built for 12 to 300 of them, and nothing measures how the cost of the control cores grows toward 1,000. The package scale reads a scenario from TOML, runs the link of each relay on a simulated network of regions and zones, and counts datagrams, bytes and processor time. The network, the event queue and the random streams know nothing of the cores, so that other simulations can use them.

Permits, observations, kills and failures are read from scenarios and not run yet; a scenario with their roles is refused.

--- /dev/null
+++ b/crates/scale/src/command/mod.rs
@@ -0,0 +1,3 @@
+//! The commands of the binary.
+
+pub mod run;
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -1,4 +1,21 @@
-//! Placeholder of the crate `scale`; its modules follow.
+//! A scale harness: it runs the control cores of many relays in one process, in simulated time, and counts what they
+//! cost.
+//!
+//! The relays are hollow. Each runs the very code of the cores (`fleet`, `permits`, `peers`, `turns`); only sockets, disk, clock
+//! and the work of destinations are simulated. [`scenario`] says what to run, [`run`] runs it, [`measurement`] is what comes
+//! out. [`network`], [`queue`] and [`random`] know nothing of the cores and serve other simulations as well.
 #![forbid(unsafe_code)]
 
 pub mod measurement;
+pub mod network;
+pub mod progress;
+pub mod queue;
+pub mod random;
+pub mod run;
+pub mod scenario;
+pub mod time;
+
+pub use measurement::Measurement;
+pub use progress::Progress;
+pub use run::{RunError, run};
+pub use scenario::Scenario;
--- a/crates/scale/src/measurement.rs
+++ b/crates/scale/src/measurement.rs
@@ -81,4 +81,19 @@
     pub detection: Delays,
     /// Time from publication of a change until it is in force on a relay that is connected.
     pub in_force: Delays,
+    /// Events that relays accepted in the measured span.
+    #[serde(default)]
+    pub events: u64,
+    /// Time from the arrival of an event until its call may start, by a permit or by the relay's own pace.
+    #[serde(default)]
+    pub permit_wait: Delays,
+    /// Dead relays that some living one did not know as dead by the end of the run.
+    #[serde(default)]
+    pub undetected: u64,
+    /// Times that a living relay that could be reached was taken for dead.
+    #[serde(default)]
+    pub false_alarms: u64,
+    /// Restarts and failures came so many times as often as on an ordinary day.
+    #[serde(default)]
+    pub speed_up: f64,
 }
--- /dev/null
+++ b/crates/scale/src/random.rs
@@ -0,0 +1,30 @@
+//! Seeded randomness: one stream of draws for each purpose, so that a change to what one draws leaves the others as they
+//! were.
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+/// What is drawn for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[non_exhaustive]
+pub enum Purpose {
+    /// Delays, losses and duplicates of the network.
+    Network,
+    /// When events arrive, where, and for which destination.
+    Traffic,
+    /// When destinations fail and return, and how long they take.
+    Destinations,
+    /// Which relays fail or restart, and when.
+    Failures,
+    /// Seeds that are given to the cores.
+    Cores,
+    /// Changes of the configuration.
+    Changes,
+}
+
+/// The draws of a purpose in a run of that seed.
+pub fn stream(seed: u64, purpose: Purpose) -> ChaCha8Rng {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    random.set_stream(purpose as u64);
+    random
+}
