Run limits, observations and maintenance of hollow relays under load

Membership alone tells nothing of what rate limits and health observations cost, which grow with events, destinations and relays. A hollow relay now has the channels of permits, peers and turns, called when the relay's shell calls them; destinations fail and return, events arrive by a Poisson process with a Zipf choice of destination, relays are killed, restart and fail.

--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -6,6 +6,7 @@
 //! out. [`network`], [`queue`] and [`random`] know nothing of the cores and serve other simulations as well.
 #![forbid(unsafe_code)]
 
+pub mod destinations;
 pub mod measurement;
 pub mod network;
 pub mod progress;
@@ -14,6 +15,7 @@
 pub mod run;
 pub mod scenario;
 pub mod time;
+pub mod traffic;
 
 pub use measurement::Measurement;
 pub use progress::Progress;
--- a/crates/scale/src/measurement.rs
+++ b/crates/scale/src/measurement.rs
@@ -56,6 +56,15 @@
     pub max_us: u64,
 }
 
+/// What maintenance in turns cost, and how often relays went out.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Maintenance {
+    /// Relays that went out.
+    pub turns: u64,
+    /// Its cost; maintenance is no role of its own, and is counted with members.
+    pub cost: RoleCost,
+}
+
 /// What one run measured.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Measurement {
@@ -90,10 +99,13 @@
     /// Dead relays that some living one did not know as dead by the end of the run.
     #[serde(default)]
     pub undetected: u64,
-    /// Times that a living relay that could be reached was taken for dead.
+    /// Pairs of living relays of which one took the other, whom it could reach, for dead; over looks each five seconds.
     #[serde(default)]
     pub false_alarms: u64,
     /// Restarts and failures came so many times as often as on an ordinary day.
     #[serde(default)]
     pub speed_up: f64,
+    /// Maintenance in turns, where it is on.
+    #[serde(default)]
+    pub maintenance: Option<Maintenance>,
 }
--- a/crates/scale/src/random.rs
+++ b/crates/scale/src/random.rs
@@ -12,7 +12,7 @@
     Network,
     /// When events arrive, where, and for which destination.
     Traffic,
-    /// When destinations fail and return, and how long they take.
+    /// When destinations fail and return.
     Destinations,
     /// Which relays fail or restart, and when.
     Failures,
@@ -20,6 +20,8 @@
     Cores,
     /// Changes of the configuration.
     Changes,
+    /// How long destinations take to answer.
+    Answers,
 }
 
 /// The draws of a purpose in a run of that seed.
--- a/crates/scale/src/run/relay.rs
+++ b/crates/scale/src/run/relay.rs
@@ -3,68 +3,282 @@
 use std::rc::Rc;
 
 use fleet::keys::{Key, Keys};
-use fleet::link::{self, Link, Out};
+use fleet::link::{self, Channel, Link, Out, Said, Sender};
+use fleet::members::Members;
 use fleet::{Peer, incarnation};
+use peers::node::Node as Facts;
+use peers::witness::{Seen, Witness};
+use permits::node::{Given, Node as Permits};
+use permits::steward::{Cold, Report};
+use permits::{Sharing, Tiers};
+use turns::Terms;
+use turns::node::{Kept, Node as Turns, Order};
+use turns::wishes::{Kind, Stage};
 
+use super::core::Core;
 use super::meter::Meter;
-use crate::scenario::Scenario;
-use crate::time::{MILLISECOND, Micros};
+use crate::measurement::Role;
+use crate::scenario::{self, Scenario};
+use crate::time::{MILLISECOND, Micros, SECOND};
 
+/// Facts of its own and of others each that a relay keeps, as the shell sets it.
+pub(super) const MOST_FACTS: usize = 4096;
+/// Where messages wait for so long at a coordinator, no relay goes out for work, as the shell sets it.
+const STRAIN: Micros = SECOND;
+/// The shell looks for strain so often.
+const STRAIN_EVERY: Micros = SECOND / 4;
 /// The shell's timer goes by whole milliseconds.
 const TIMER_STEP: Micros = MILLISECOND;
+/// How a destination that was out returns.
+const COLD: Cold = Cold { from: 0.2, warm_after: 10 * SECOND };
+
+/// A channel whose calls are counted as the cost of its core.
+struct Metered<'a> {
+    channel: &'a mut dyn Channel,
+    core: Core,
+    meter: &'a Meter,
+}
+
+impl Channel for Metered<'_> {
+    fn id(&self) -> u8 {
+        self.channel.id()
+    }
+
+    fn bound(&self) -> bool {
+        self.channel.bound()
+    }
+
+    fn hear(&mut self, now: Micros, from: &Sender, members: &Members, bytes: &[u8]) -> bool {
+        let channel = &mut self.channel;
+        self.meter.within(self.core, || channel.hear(now, from, members, bytes))
+    }
+
+    fn say(&mut self, now: Micros, members: &Members, room: usize, allowance: usize) -> Vec<Said> {
+        let channel = &mut self.channel;
+        self.meter.within(self.core, || channel.say(now, members, room, allowance))
+    }
+
+    fn next_at(&self, now: Micros) -> Micros {
+        self.meter.within(self.core, || self.channel.next_at(now))
+    }
+}
 
 /// What a relay said when it was polled.
 #[derive(Debug, Default)]
 pub(super) struct Polled {
     /// Datagrams to send.
     pub(super) out: Vec<Out>,
+    /// What coordinators granted.
+    pub(super) given: Vec<Given>,
+    /// It goes out for maintenance.
+    pub(super) goes_out: bool,
     /// When it is to be polled again, if nothing happens before.
     pub(super) next: Micros,
 }
 
+/// What all relays of a run are set up with.
+#[derive(Debug)]
+pub(super) struct Setup {
+    keys: Keys,
+    relays: Peer,
+    asks: bool,
+    bytes_per_s: u32,
+    sharing: Option<Sharing>,
+    observes: bool,
+    terms: Option<Terms>,
+    /// The limit of each destination, in calls a second.
+    limits: Vec<f64>,
+    pub(super) meter: Meter,
+}
+
+impl Setup {
+    pub(super) fn new(scenario: &Scenario, limits: Vec<f64>) -> Self {
+        let key = Key { id: 1, bytes: vec![1; 32] };
+        let relays = Peer::try_from(scenario.relays).unwrap_or(Peer::MAX);
+        let sharing = match scenario.sharing {
+            scenario::Sharing::Whole => Sharing::Whole,
+            scenario::Sharing::Parts => Sharing::Parts,
+        };
+        let seats = scenario.maintenance_seats;
+        let zones = scenario.topology().zones().to_vec();
+        Setup {
+            keys: Keys(if scenario.signed { vec![key] } else { Vec::new() }),
+            relays,
+            asks: scenario.asks(),
+            bytes_per_s: scenario.bytes_per_s,
+            sharing: scenario.has(Role::LimitCoordinator).then_some(sharing),
+            observes: scenario.has(Role::HealthObservations),
+            terms: (seats > 0).then_some(Terms { relays, seats, zones }),
+            limits,
+            meter: Meter::new(),
+        }
+    }
+
+    /// The keys by which all sign, if they do.
+    pub(super) fn keys(&self) -> &Keys {
+        &self.keys
+    }
+
+    /// Cores that speak.
+    pub(super) fn cores(&self) -> Vec<Core> {
+        let on = |core: &Core| match core {
+            Core::Link => self.asks,
+            Core::Permits => self.sharing.is_some(),
+            Core::Observations => self.observes,
+            Core::Maintenance => self.terms.is_some(),
+        };
+        Core::ALL.into_iter().filter(on).collect()
+    }
+}
+
 /// A hollow relay.
 #[derive(Debug)]
 pub(super) struct Relay {
     pub(super) link: Link,
-    meter: Rc<Meter>,
-}
-
-/// The keys by which all relays of a run sign, if they do.
-pub(super) fn keys(scenario: &Scenario) -> Keys {
-    let key = Key { id: 1, bytes: vec![1; 32] };
-    Keys(if scenario.signed { vec![key] } else { Vec::new() })
+    pub(super) permits: Option<Permits>,
+    pub(super) facts: Option<(Facts, Witness)>,
+    pub(super) turns: Option<Turns>,
+    strain_at: Micros,
+    setup: Rc<Setup>,
 }
 
 impl Relay {
-    /// A relay that starts now.
-    pub(super) fn new(me: Peer, scenario: &Scenario, now: Micros, meter: Rc<Meter>) -> Self {
+    /// A relay that starts now, after an earlier process of it or for the first time.
+    pub(super) fn new(me: Peer, setup: &Rc<Setup>, now: Micros, (seed, kept): (u64, Option<&Kept>)) -> Self {
+        let incarnation = incarnation(now);
         let config = link::Config {
             me,
-            incarnation: incarnation(now),
-            peers: (0..scenario.relays).filter_map(|peer| Peer::try_from(peer).ok()).collect(),
-            keys: keys(scenario),
-            bytes_per_s: scenario.bytes_per_s,
-            asks: scenario.asks(),
+            incarnation,
+            peers: (0..setup.relays).collect(),
+            keys: setup.keys.clone(),
+            bytes_per_s: setup.bytes_per_s,
+            asks: setup.asks,
         };
-        Relay { link: Link::new(config, now), meter }
+        let permits = setup.sharing.map(|sharing| {
+            let config = permits::node::Config {
+                me,
+                relays: setup.relays,
+                incarnation,
+                cold: COLD,
+                sharing,
+                follows: false,
+            };
+            let mut permits = Permits::new(config, now);
+            (0..).zip(&setup.limits).for_each(|(destination, limit)| permits.listed(destination, *limit));
+            permits
+        });
+        let facts = setup.observes.then(|| {
+            let config = peers::node::Config { me, most_facts: MOST_FACTS, seed, asks: kept.is_some() };
+            (Facts::new(config, now), Witness::default())
+        });
+        let turns = setup.terms.clone().map(|terms| {
+            let config = turns::node::Config { me, incarnation, terms };
+            Turns::new(config, now, kept.unwrap_or(&Kept::default()))
+        });
+        let (link, setup) = (Link::new(config, now), Rc::clone(setup));
+        Relay { link, permits, facts, turns, strain_at: now, setup }
+    }
+
+    /// What outlasts its process.
+    pub(super) fn kept(&self) -> Kept {
+        self.turns.as_ref().map(Turns::kept).unwrap_or_default()
     }
 
     /// Takes a datagram.
     pub(super) fn receive(&mut self, now: Micros, bytes: &[u8]) {
-        let Relay { link, meter } = self;
-        // What has no effect is counted by the link.
-        let _ = meter.call(|| link.receive(now, bytes, &mut []));
+        let setup = Rc::clone(&self.setup);
+        setup.meter.call(|| {
+            // What has no effect is counted by the link.
+            let _ = self.with_channels(&setup.meter, |link, channels| link.receive(now, bytes, channels));
+            if let Some((facts, _)) = &mut self.facts {
+                setup.meter.within(Core::Observations, || {
+                    let news = facts.take_news();
+                    news.iter().filter(|fact| facts.ledger().heeded(now, fact).is_some()).count()
+                });
+            }
+        });
+    }
+
+    /// What waits for a destination beyond the permits held.
+    pub(super) fn want(&mut self, now: Micros, destination: u32, tiers: Tiers) {
+        let meter = &self.setup.meter;
+        if let Some(permits) = &mut self.permits {
+            let want = || permits.want(now, i64::from(destination), tiers);
+            meter.call(|| meter.within(Core::Permits, want));
+        }
+    }
+
+    /// A call ended.
+    pub(super) fn ended(&mut self, now: Micros, report: &Report, seen: &Seen) {
+        let meter = &self.setup.meter;
+        meter.call(|| {
+            if let Some(permits) = &mut self.permits {
+                meter.within(Core::Permits, || permits.report(now, seen.destination, report));
+            }
+            if let Some((facts, witness)) = &mut self.facts {
+                meter.within(Core::Observations, || {
+                    let (known, traffic) = witness.saw(seen);
+                    for known in known {
+                        facts.observe(now, seen.destination, known, traffic);
+                    }
+                });
+            }
+        });
+    }
+
+    /// It is to go out for a restart, in its turn. Whether it takes turns at all.
+    pub(super) fn wishes_restart(&mut self, now: Micros, me: Peer) -> bool {
+        let Some(turns) = &mut self.turns else { return false };
+        turns.wish(now, me, Kind::Restart, Stage::Wanted);
+        true
     }
 
     /// Says what is due, as the shell does after whatever happened.
     pub(super) fn poll(&mut self, now: Micros) -> Polled {
-        let Relay { link, meter } = self;
-        meter.call(|| {
-            let out = link.poll(now, &mut []);
-            let next = link.next_at(now, &[]);
-            Polled { out, next: timer(now, next) }
+        let setup = Rc::clone(&self.setup);
+        setup.meter.call(|| {
+            let goes_out = setup.meter.within(Core::Maintenance, || self.look_at_turns(now));
+            let mut polled = Polled { goes_out, ..Polled::default() };
+            polled.out = self.with_channels(&setup.meter, |link, channels| link.poll(now, channels));
+            if let Some(permits) = &mut self.permits {
+                let earlier = permits.say_earlier(&setup.keys);
+                polled.out.extend(earlier);
+                polled.given = permits.take_given();
+                permits.take_waits();
+            }
+            let next = self.with_channels(&setup.meter, |link, channels| link.next_at(now, channels));
+            let look_at = if self.turns.is_some() { self.strain_at } else { Micros::MAX };
+            polled.next = timer(now, next.min(look_at));
+            polled
         })
     }
+
+    /// Looks for strain when it is time to, and for an order to go out.
+    fn look_at_turns(&mut self, now: Micros) -> bool {
+        let Some(turns) = &mut self.turns else { return false };
+        if now >= self.strain_at {
+            self.strain_at = now + STRAIN_EVERY;
+            let strained = self.permits.as_ref().and_then(|permits| permits.strained(now, STRAIN));
+            turns.strain(now, strained.is_some());
+        }
+        turns.serves(now, u64::try_from(now / MILLISECOND).unwrap_or(0), true);
+        turns.take_changed();
+        turns.take_orders().iter().any(|order| matches!(order, Order::Out(turn) if turn.kind.ends()))
+    }
+
+    /// Calls the link with the channels in the shell's order, the most urgent first.
+    fn with_channels<T>(
+        &mut self, meter: &Meter, call: impl FnOnce(&mut Link, &mut [&mut dyn Channel]) -> T,
+    ) -> T {
+        let permits = self.permits.as_mut().map(|permits| (permits as &mut dyn Channel, Core::Permits));
+        let turns = self.turns.as_mut().map(|turns| (turns as &mut dyn Channel, Core::Maintenance));
+        let facts = self.facts.as_mut().map(|(facts, _)| (facts as &mut dyn Channel, Core::Observations));
+        let on = [permits, turns, facts].into_iter().flatten();
+        let mut metered: Vec<Metered> = on.map(|(channel, core)| Metered { channel, core, meter }).collect();
+        let mut channels: Vec<&mut dyn Channel> =
+            metered.iter_mut().map(|channel| channel as &mut dyn Channel).collect();
+        call(&mut self.link, &mut channels)
+    }
 }
 
 /// When the shell's timer for a moment goes off.
--- /dev/null
+++ b/crates/scale/src/run/simulation.rs
@@ -0,0 +1,519 @@
+//! The loop of a run: takes events in the order of their time, and calls each relay when its shell would.
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use fleet::Peer;
+use peers::witness::{Seen, Sign as SeenSign};
+use permits::note::Sign;
+use permits::steward::Report;
+use rand::Rng;
+use rand::seq::SliceRandom;
+use rand_chacha::ChaCha8Rng;
+use turns::node::Kept;
+
+use super::core::Core;
+use super::count::Sent;
+use super::delays::DelayHistogram;
+use super::detection::{self, Detection, takes_for_dead};
+use super::relay::{Relay, Setup};
+use super::work::{TRY_AGAIN, Waiting, Work};
+use crate::destinations::{Answer, Destinations, exponential};
+use crate::network::{Cut, Network};
+use crate::progress::Progress;
+use crate::queue::EventQueue;
+use crate::random::{Purpose, stream};
+use crate::scenario::Scenario;
+use crate::time::{DAY, Micros, SECOND, in_seconds, seconds};
+use crate::traffic::{self, Arrival, Traffic};
+
+/// The simulated moment at which a run starts, as Unix time: cores number their starts by it.
+pub(super) const START: Micros = 1_790_000_000 * SECOND;
+/// Relays start spread over so long, so that their timers do not go off together.
+const STARTS_WITHIN: Micros = SECOND;
+/// The real time is looked at, and progress told, each so many events.
+const LOOK_EVERY: u64 = 1024;
+/// It is looked for living relays that are taken for dead so often ...
+const ALARMS_EVERY: Micros = 5 * SECOND;
+/// ... among those that have lived for so long.
+const SETTLED: Micros = 60 * SECOND;
+/// A relay is away for no less: its starts are numbered by tenths of a second.
+const LEAST_AWAY: Micros = SECOND / 5;
+
+/// What happens.
+#[derive(Debug)]
+enum Event {
+    /// A relay starts.
+    Start(Peer),
+    /// A relay's timer goes off.
+    Wake(Peer),
+    /// A datagram arrives.
+    Datagram { to: Peer, bytes: Rc<[u8]> },
+    /// A relay accepts an event.
+    Arrival(Arrival),
+    /// A relay looks again whether a call may start.
+    Look { relay: Peer, destination: u32 },
+    /// A call that failed is to be tried again.
+    Again { relay: Peer, destination: u32, waiting: Waiting },
+    /// A call ends.
+    Ended(Call),
+    /// Some relays are killed at once.
+    Kill,
+    /// A relay restarts, drawn from all.
+    Restart,
+    /// A machine fails, drawn from all.
+    Failure,
+    /// It is looked who knows of deaths.
+    LookForDeaths,
+    /// It is looked for living relays that are taken for dead.
+    LookForAlarms,
+}
+
+/// A call that goes on.
+#[derive(Clone, Copy, Debug)]
+struct Call {
+    relay: Peer,
+    life: u32,
+    destination: u32,
+    began: Micros,
+    answer: Answer,
+    waiting: Waiting,
+}
+
+/// A machine with its relay, if that lives.
+#[derive(Debug, Default)]
+pub(super) struct Machine {
+    pub(super) relay: Option<Relay>,
+    pub(super) sent: Sent,
+    work: Work,
+    life: u32,
+    since: Micros,
+    wake_at: Micros,
+    kept: Option<Kept>,
+    /// It was killed and does not return.
+    killed: bool,
+}
+
+/// What was counted beside what relays sent.
+#[derive(Debug, Default)]
+pub(super) struct Counted {
+    pub(super) events: u64,
+    pub(super) permit_wait: DelayHistogram,
+    pub(super) false_alarms: u64,
+    pub(super) turns: u64,
+}
+
+/// A run.
+pub(super) struct Simulation<'a> {
+    pub(super) scenario: &'a Scenario,
+    pub(super) setup: Rc<Setup>,
+    pub(super) machines: Vec<Machine>,
+    pub(super) detection: Detection,
+    pub(super) counted: Counted,
+    network: Network,
+    queue: EventQueue<Event>,
+    destinations: Destinations,
+    traffic: Option<Traffic>,
+    limits: Vec<f64>,
+    cores: ChaCha8Rng,
+    failures: ChaCha8Rng,
+    measured_from: Micros,
+    until: Micros,
+    pub(super) began: Instant,
+}
+
+impl<'a> Simulation<'a> {
+    pub(super) fn new(scenario: &'a Scenario, seed: u64) -> Self {
+        let measured_from = START + seconds(scenario.warm_up_s);
+        let limits = traffic::limits(scenario);
+        let setup = Setup::new(scenario, limits.clone());
+        let works = setup.cores().iter().any(|core| matches!(core, Core::Permits | Core::Observations));
+        let mut simulation = Simulation {
+            network: network(scenario, seed, measured_from),
+            queue: EventQueue::new(START),
+            machines: (0..scenario.relays).map(|_| Machine::default()).collect(),
+            setup: Rc::new(setup),
+            destinations: Destinations::new(scenario, &limits, seed, START),
+            traffic: Traffic::new(scenario, seed, START).filter(|_| works),
+            limits,
+            cores: stream(seed, Purpose::Cores),
+            failures: stream(seed, Purpose::Failures),
+            detection: Detection::default(),
+            counted: Counted::default(),
+            measured_from,
+            until: measured_from + seconds(scenario.seconds),
+            began: Instant::now(),
+            scenario,
+        };
+        simulation.plan();
+        simulation
+    }
+
+    /// Puts what is known from the start into the queue.
+    fn plan(&mut self) {
+        for peer in (0..self.scenario.relays).filter_map(|peer| Peer::try_from(peer).ok()) {
+            let at = START + self.cores.random_range(0..STARTS_WITHIN);
+            self.queue.push(at, Event::Start(peer));
+        }
+        if let Some(kill) = self.scenario.kill {
+            self.queue.push(self.measured_from + seconds(kill.at_s), Event::Kill);
+        }
+        self.plan_restart(START);
+        self.plan_failure(START);
+        self.plan_arrival();
+        if self.scenario.asks() {
+            self.queue.push(START + ALARMS_EVERY, Event::LookForAlarms);
+        }
+    }
+
+    fn plan_restart(&mut self, now: Micros) {
+        let day = self.scenario.ordinary_day;
+        if let Some(at) = self.next_of(now, day.restarts * day.speed_up) {
+            self.queue.push(at, Event::Restart);
+        }
+    }
+
+    fn plan_failure(&mut self, now: Micros) {
+        let day = self.scenario.ordinary_day;
+        if let Some(at) = self.next_of(now, day.failures * day.speed_up) {
+            self.queue.push(at, Event::Failure);
+        }
+    }
+
+    /// When the next comes of what comes so many times a day.
+    fn next_of(&mut self, now: Micros, a_day: f64) -> Option<Micros> {
+        (a_day > 0.0).then(|| now + exponential(&mut self.failures, (DAY as f64 / a_day) as Micros))
+    }
+
+    fn plan_arrival(&mut self) {
+        if let Some(arrival) = self.traffic.as_mut().map(Traffic::next_arrival) {
+            self.queue.push(arrival.at, Event::Arrival(arrival));
+        }
+    }
+
+    /// Runs to the end; whether it came there within the bound of real time.
+    pub(super) fn run(&mut self, bound: Duration, progress: &mut dyn Progress) -> bool {
+        for (step, until) in [("warming up", self.measured_from), ("measuring", self.until)] {
+            let mut events = 0u64;
+            while let Some((now, event)) = self.queue.pop_until(until) {
+                self.happens(now, event);
+                events += 1;
+                if events.is_multiple_of(LOOK_EVERY) {
+                    if self.began.elapsed() > bound {
+                        return false;
+                    }
+                    progress.reached(in_seconds(now - START) / in_seconds(self.until - START), step);
+                }
+            }
+            if until == self.measured_from {
+                self.forget();
+            }
+        }
+        true
+    }
+
+    /// Forgets what was counted in the warm-up.
+    fn forget(&mut self) {
+        self.setup.meter.reset();
+        self.counted = Counted::default();
+        self.detection.delays = DelayHistogram::default();
+        self.machines.iter_mut().for_each(|machine| machine.sent = Sent::default());
+    }
+
+    /// Simulated seconds that were measured so far.
+    pub(super) fn measured_s(&self) -> f64 {
+        in_seconds((self.queue.now() - self.measured_from).max(0))
+    }
+
+    fn happens(&mut self, now: Micros, event: Event) {
+        match event {
+            Event::Start(peer) => self.start(now, peer),
+            Event::Wake(peer) => {
+                if self.machine(peer).is_some_and(|machine| machine.wake_at == now) {
+                    self.poll(now, peer);
+                }
+            }
+            Event::Datagram { to, bytes } => {
+                if let Some(relay) = self.relay(to) {
+                    relay.receive(now, &bytes);
+                    self.poll(now, to);
+                }
+            }
+            Event::Arrival(arrival) => self.arrives(now, arrival),
+            Event::Look { relay, destination } => self.serve(now, relay, VecDeque::from([destination])),
+            Event::Again { relay, destination, waiting } => self.wait(now, relay, destination, waiting),
+            Event::Ended(call) => self.ended(now, call),
+            Event::Kill => self.kill(now),
+            Event::Restart => self.restart(now),
+            Event::Failure => self.fail(now),
+            Event::LookForDeaths => self.look_for_deaths(now),
+            Event::LookForAlarms => self.look_for_alarms(now),
+        }
+    }
+
+    fn machine(&mut self, peer: Peer) -> Option<&mut Machine> {
+        self.machines.get_mut(usize::from(peer))
+    }
+
+    fn relay(&mut self, peer: Peer) -> Option<&mut Relay> {
+        self.machine(peer)?.relay.as_mut()
+    }
+
+    // ---- relays ----
+
+    fn start(&mut self, now: Micros, peer: Peer) {
+        let (seed, setup) = (self.cores.random(), Rc::clone(&self.setup));
+        let Some(machine) = self.machine(peer).filter(|machine| machine.relay.is_none() && !machine.killed)
+        else {
+            return;
+        };
+        machine.relay = Some(Relay::new(peer, &setup, now, (seed, machine.kept.as_ref())));
+        (machine.life, machine.since) = (machine.life + 1, now);
+        let busy = machine.work.busy();
+        self.detection.returned(peer);
+        self.serve(now, peer, busy.into());
+    }
+
+    /// A relay dies; it starts again after a while, if at all.
+    fn stop(&mut self, now: Micros, peer: Peer, away: Option<Micros>) {
+        let Some(machine) = self.machine(peer) else { return };
+        let Some(relay) = machine.relay.take() else { return };
+        machine.kept = Some(relay.kept());
+        machine.killed = away.is_none();
+        machine.work.restarted();
+        if let Some(away) = away {
+            self.queue.push(now + away.max(LEAST_AWAY), Event::Start(peer));
+        }
+        if self.scenario.asks() {
+            let living = (0..).zip(&self.machines).filter(|(_, machine)| machine.relay.is_some());
+            self.detection.died(now, peer, living.map(|(peer, machine)| (peer, machine.life)).collect());
+            if self.detection.pending() == 1 {
+                self.queue.push(now + detection::LOOK_EVERY, Event::LookForDeaths);
+            }
+        }
+    }
+
+    fn living(&self) -> Vec<Peer> {
+        let living = (0..).zip(&self.machines).filter(|(_, machine)| machine.relay.is_some());
+        living.map(|(peer, _)| peer).collect()
+    }
+
+    fn drawn(&mut self) -> Option<Peer> {
+        let living = self.living();
+        let place = self.failures.random_range(0..living.len().max(1));
+        living.get(place).copied()
+    }
+
+    fn kill(&mut self, now: Micros) {
+        let mut living = self.living();
+        living.shuffle(&mut self.failures);
+        let share = self.scenario.kill.map_or(0.0, |kill| kill.share);
+        let count = (living.len() as f64 * share).round() as usize;
+        living.truncate(count);
+        // All at once: none of them finds another dead.
+        let relays: Vec<Peer> = living;
+        for peer in &relays {
+            self.stop(now, *peer, None);
+        }
+    }
+
+    fn restart(&mut self, now: Micros) {
+        self.plan_restart(now);
+        let Some(peer) = self.drawn() else { return };
+        if self.relay(peer).is_some_and(|relay| relay.wishes_restart(now, peer)) {
+            self.poll(now, peer);
+        } else {
+            self.stop(now, peer, Some(seconds(self.scenario.ordinary_day.restart_s)));
+        }
+    }
+
+    fn fail(&mut self, now: Micros) {
+        self.plan_failure(now);
+        if let Some(peer) = self.drawn() {
+            self.stop(now, peer, Some(seconds(self.scenario.ordinary_day.repair_s)));
+        }
+    }
+
+    fn look_for_deaths(&mut self, now: Micros) {
+        let machines = &self.machines;
+        self.detection.look(now, |peer, life| {
+            let machine = machines.get(usize::from(peer)).filter(|machine| machine.life == life)?;
+            machine.relay.as_ref()
+        });
+        if self.detection.pending() > 0 {
+            self.queue.push(now + detection::LOOK_EVERY, Event::LookForDeaths);
+        }
+    }
+
+    fn look_for_alarms(&mut self, now: Micros) {
+        self.queue.push(now + ALARMS_EVERY, Event::LookForAlarms);
+        let settled = |machine: &&Machine| machine.relay.is_some() && now - machine.since >= SETTLED;
+        let peers: Vec<(Peer, &Machine)> =
+            (0..).zip(&self.machines).filter(|(_, machine)| settled(machine)).collect();
+        for (observer, relay) in
+            peers.iter().filter_map(|(peer, machine)| Some((*peer, machine.relay.as_ref()?)))
+        {
+            let wrong = |other: Peer| {
+                other != observer
+                    && takes_for_dead(relay, other)
+                    && self.network.reaches(now, u32::from(other), u32::from(observer))
+                    && self.network.reaches(now, u32::from(observer), u32::from(other))
+            };
+            self.counted.false_alarms += peers.iter().filter(|(other, _)| wrong(*other)).count() as u64;
+        }
+    }
+
+    // ---- datagrams ----
+
+    /// Sends what a relay has to say, sets its timer, and serves what coordinators granted.
+    fn poll(&mut self, now: Micros, peer: Peer) {
+        let granted = self.say(now, peer);
+        if !granted.is_empty() {
+            self.serve(now, peer, granted.into());
+        }
+    }
+
+    /// Sends what a relay has to say and sets its timer; the destinations of which it was granted something.
+    fn say(&mut self, now: Micros, peer: Peer) -> Vec<u32> {
+        let Some(machine) = self.machines.get_mut(usize::from(peer)) else { return Vec::new() };
+        let Some(relay) = &mut machine.relay else { return Vec::new() };
+        let polled = relay.poll(now);
+        if machine.wake_at != polled.next {
+            machine.wake_at = polled.next;
+            self.queue.push(polled.next, Event::Wake(peer));
+        }
+        let mut granted = Vec::new();
+        for given in polled.given {
+            if let Ok(destination) = u32::try_from(given.destination) {
+                machine.work.heard(now, destination, given.permits);
+                granted.push(destination);
+            }
+        }
+        let alone = match self.setup.cores().as_slice() {
+            [core] => Some(*core),
+            _ => None,
+        };
+        for out in polled.out {
+            match alone {
+                Some(core) => machine.sent.add_all(core, &out.bytes),
+                None => machine.sent.add(self.setup.keys(), &out.bytes),
+            }
+            let bytes: Rc<[u8]> = out.bytes.into();
+            for at in self.network.arrivals(now, u32::from(peer), u32::from(out.to)) {
+                self.queue.push(at, Event::Datagram { to: out.to, bytes: Rc::clone(&bytes) });
+            }
+        }
+        if polled.goes_out {
+            self.counted.turns += 1;
+            self.stop(now, peer, Some(seconds(self.scenario.ordinary_day.restart_s)));
+        }
+        granted
+    }
+
+    // ---- work ----
+
+    fn arrives(&mut self, now: Micros, arrival: Arrival) {
+        self.plan_arrival();
+        self.destinations.advance(now);
+        let was_up = self.destinations.is_up(arrival.destination);
+        let relays = self.scenario.relays;
+        // A relay that is not there gets nothing: clients go on to the next that is.
+        let there = |peer: &u32| self.machines.get(*peer as usize).is_some_and(|m| m.relay.is_some());
+        let relay = (0..relays).map(|step| (arrival.relay + step) % relays).find(there);
+        if let Some(relay) = relay.and_then(|relay| Peer::try_from(relay).ok()) {
+            self.counted.events += 1;
+            self.wait(now, relay, arrival.destination, Waiting { arrived: now, was_up, calls: 0 });
+        }
+    }
+
+    fn wait(&mut self, now: Micros, peer: Peer, destination: u32, waiting: Waiting) {
+        let Some(machine) = self.machine(peer).filter(|machine| !machine.killed) else { return };
+        machine.work.add(destination, waiting);
+        if machine.relay.is_some() {
+            self.serve(now, peer, VecDeque::from([destination]));
+        }
+    }
+
+    fn ended(&mut self, now: Micros, call: Call) {
+        let Call { relay: peer, life, destination, began, answer, waiting } = call;
+        let Some(machine) = self.machine(peer) else { return };
+        // A relay that restarted meanwhile calls again: it cannot know how the call ended.
+        let lost = machine.life != life || machine.relay.is_none();
+        if !lost {
+            machine.work.ended();
+            let (sign, seen) = match answer {
+                Answer::Well => (Sign::Well, SeenSign::Well),
+                Answer::Failed => (Sign::Failed, SeenSign::Failed),
+                Answer::Refused => (Sign::Refused, SeenSign::Refused(None)),
+            };
+            let report = Report { sign, began, wait: None, limit: None, left: None };
+            let seen =
+                Seen { destination: i64::from(destination), began, ended: now, sign: seen, limit: None };
+            if let Some(relay) = &mut machine.relay {
+                relay.ended(now, &report, &seen);
+            }
+        }
+        if (lost || answer != Answer::Well) && !waiting.is_over(now) {
+            self.queue.push(now + TRY_AGAIN, Event::Again { relay: peer, destination, waiting });
+        }
+        self.serve(now, peer, VecDeque::from([destination]));
+    }
+
+    /// Asks coordinators and starts calls for these destinations, until nothing more is granted at once.
+    fn serve(&mut self, now: Micros, peer: Peer, mut destinations: VecDeque<u32>) {
+        loop {
+            while let Some(destination) = destinations.pop_front() {
+                self.serve_one(now, peer, destination);
+            }
+            destinations.extend(self.say(now, peer));
+            if destinations.is_empty() {
+                return;
+            }
+        }
+    }
+
+    fn serve_one(&mut self, now: Micros, peer: Peer, destination: u32) {
+        let limit = self.limits.get(destination as usize).copied().unwrap_or(1.0);
+        let own_gap = seconds(f64::from(self.scenario.relays) / limit);
+        let Some(machine) = self.machines.get_mut(usize::from(peer)) else { return };
+        let Some(relay) = &mut machine.relay else { return };
+        let mut starts = Vec::new();
+        if relay.permits.is_some() {
+            let due = machine.work.due(now, destination, own_gap);
+            if let Some(tiers) = due.want {
+                relay.want(now, destination, tiers);
+            }
+            if let Some(at) = due.look_at {
+                self.queue.push(at, Event::Look { relay: peer, destination });
+            }
+            starts.extend(due.starts);
+        } else {
+            starts.extend(machine.work.all_due(destination));
+        }
+        let life = machine.life;
+        for waiting in starts {
+            self.call(now, (peer, life), destination, waiting);
+        }
+    }
+
+    fn call(&mut self, now: Micros, (relay, life): (Peer, u32), destination: u32, waiting: Waiting) {
+        if waiting.calls == 0 && waiting.was_up {
+            self.counted.permit_wait.record(now - waiting.arrived);
+        }
+        self.destinations.advance(now);
+        let (answer, took) = self.destinations.call(now, destination);
+        let waiting = Waiting { calls: waiting.calls + 1, ..waiting };
+        let call = Call { relay, life, destination, began: now, answer, waiting };
+        self.queue.push(now + took, Event::Ended(call));
+    }
+}
+
+/// The network of a scenario; its cuts count from the end of the warm-up.
+fn network(scenario: &Scenario, seed: u64, measured_from: Micros) -> Network {
+    let mut network = Network::new(scenario.topology(), scenario.network, seed);
+    for Cut { from, until, kind } in scenario.cuts.iter().cloned() {
+        network.cut(Cut { from: from + measured_from, until: until + measured_from, kind });
+    }
+    network
+}
--- a/crates/scale/src/scenario/file.rs
+++ b/crates/scale/src/scenario/file.rs
@@ -95,6 +95,8 @@
     #[serde(default = "usual::bytes_per_s")]
     bytes_per_s: u32,
     #[serde(default)]
+    maintenance_seats: u8,
+    #[serde(default)]
     changes_per_day: f64,
     #[serde(default)]
     network: FileNetwork,
@@ -285,6 +287,7 @@
             sharing: self.sharing,
             signed: self.signed,
             bytes_per_s: self.bytes_per_s,
+            maintenance_seats: self.maintenance_seats,
             changes_per_day: self.changes_per_day,
             ordinary_day: self.ordinary_day.into(),
             kill: self.kill,
--- a/crates/scale/src/scenario/mod.rs
+++ b/crates/scale/src/scenario/mod.rs
@@ -100,6 +100,8 @@
     pub signed: bool,
     /// Bytes a second that a relay may send, rate limits aside.
     pub bytes_per_s: u32,
+    /// Relays that may be out for maintenance at once; with 0 there is no maintenance, and restarts ask nobody.
+    pub maintenance_seats: u8,
     /// Configuration changes a day.
     pub changes_per_day: f64,
     /// What fails on an ordinary day.
@@ -117,10 +119,13 @@
 }
 
 impl Scenario {
-    /// The same with another number of relays, each of which accepts as many events a second as before.
+    /// The same with another number of relays, each of which accepts as many events and fails as often as before.
     #[must_use]
     pub fn with_relays(mut self, relays: u32) -> Self {
-        self.events_per_s *= f64::from(relays) / f64::from(self.relays.max(1));
+        let times = f64::from(relays) / f64::from(self.relays.max(1));
+        self.events_per_s *= times;
+        self.ordinary_day.restarts *= times;
+        self.ordinary_day.failures *= times;
         self.relays = relays;
         self
     }
