--- a/crates/scale/src/run/mod.rs
+++ b/crates/scale/src/run/mod.rs
@@ -47,7 +47,7 @@
         bound_s: f64,
         /// Seconds that were to be measured.
         wanted_s: f64,
-        /// What was measured until then; no time was where the warm-up did not end.
+        /// What was measured until then. Where the warm-up did not end that is no time, and counts are of the warm-up.
         measurement: Box<Measurement>,
     },
 }
--- a/crates/scale/src/run/simulation.rs
+++ b/crates/scale/src/run/simulation.rs
@@ -24,7 +24,7 @@
 use crate::progress::Progress;
 use crate::queue::EventQueue;
 use crate::random::{Purpose, stream};
-use crate::scenario::Scenario;
+use crate::scenario::{Killed, Scenario};
 use crate::time::{DAY, Micros, SECOND, in_seconds, seconds};
 use crate::traffic::{self, Arrival, Traffic};
 
@@ -32,7 +32,9 @@
 pub(super) const START: Micros = 1_790_000_000 * SECOND;
 /// Relays start spread over so long, so that their timers do not go off together.
 const STARTS_WITHIN: Micros = SECOND;
-/// The real time is looked at, and progress told, each so many events.
+/// Progress is told so often, in simulated time.
+const TELL_EVERY: Micros = SECOND / 10;
+/// The real time is looked at each so many events.
 const LOOK_EVERY: u64 = 1024;
 /// It is looked for living relays that are taken for dead so often ...
 const ALARMS_EVERY: Micros = 5 * SECOND;
@@ -120,6 +122,7 @@
     failures: ChaCha8Rng,
     measured_from: Micros,
     until: Micros,
+    tell_at: Micros,
     pub(super) began: Instant,
 }
 
@@ -143,6 +146,7 @@
             counted: Counted::default(),
             measured_from,
             until: measured_from + seconds(scenario.seconds),
+            tell_at: START,
             began: Instant::now(),
             scenario,
         };
@@ -199,10 +203,11 @@
             while let Some((now, event)) = self.queue.pop_until(until) {
                 self.happens(now, event);
                 events += 1;
-                if events.is_multiple_of(LOOK_EVERY) {
-                    if self.began.elapsed() > bound {
-                        return false;
-                    }
+                if events.is_multiple_of(LOOK_EVERY) && self.began.elapsed() > bound {
+                    return false;
+                }
+                if now >= self.tell_at {
+                    self.tell_at = now + TELL_EVERY;
                     progress.reached(in_seconds(now - START) / in_seconds(self.until - START), step);
                 }
             }
@@ -306,16 +311,13 @@
     }
 
     fn kill(&mut self, now: Micros) {
-        let mut living = self.living();
-        living.shuffle(&mut self.failures);
-        let share = self.scenario.kill.map_or(0.0, |kill| kill.share);
-        let count = (living.len() as f64 * share).round() as usize;
-        living.truncate(count);
-        // All at once: none of them finds another dead.
-        let relays: Vec<Peer> = living;
-        for peer in &relays {
-            self.stop(now, *peer, None);
+        let Some(kill) = self.scenario.kill else { return };
+        let mut killed = self.living();
+        if kill.which == Killed::Drawn {
+            killed.shuffle(&mut self.failures);
         }
+        killed.truncate((killed.len() as f64 * kill.share).round() as usize);
+        killed.into_iter().for_each(|peer| self.stop(now, peer, None));
     }
 
     fn restart(&mut self, now: Micros) {
--- a/crates/scale/src/scenario/mod.rs
+++ b/crates/scale/src/scenario/mod.rs
@@ -35,13 +35,28 @@
     Parts,
 }
 
+/// Which relays are killed at once.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Killed {
+    /// Those that are drawn, by the seed.
+    #[default]
+    Drawn,
+    /// Those with the lowest numbers. Relays ask each other in the order of their numbers, so that these are found first.
+    Lowest,
+}
+
 /// Relays that are killed at once.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Kill {
     /// When, in seconds after the warm-up.
     pub at_s: f64,
     /// This part of the relays, 0 to 1.
     pub share: f64,
+    /// Which.
+    #[serde(default)]
+    pub which: Killed,
 }
 
 /// What fails on an ordinary day.
