--- a/crates/rollout/src/replica.rs
+++ b/crates/rollout/src/replica.rs
@@ -20,8 +20,6 @@
     keys: ControlKeys,
     set: DestinationSet,
     log: ChangeLog,
-    /// The signed change that led to the set's version; it vouches for snapshots of it.
-    newest: Option<SignedChange>,
     /// Verified changes whose predecessor has not come.
     early: BTreeMap<Version, (Change, SignedChange)>,
 }
@@ -31,9 +29,11 @@
     pub fn new(
         keys: ControlKeys, set: DestinationSet, newest: Option<SignedChange>, limits: LogLimits,
     ) -> Self {
-        let verified = newest.filter(|signed| vouches(signed, &keys, &set));
-        let log = ChangeLog::new(set.version(), limits);
-        Replica { keys, set, log, newest: verified, early: BTreeMap::new() }
+        let mut log = ChangeLog::new(set.version(), limits);
+        if let Some(signed) = newest.filter(|signed| vouches(signed, &keys, &set)) {
+            log.reset(set.version(), signed);
+        }
+        Replica { keys, set, log, early: BTreeMap::new() }
     }
 
     /// The set that is in force.
@@ -48,7 +48,7 @@
 
     /// The signed change that led to the set's version, if it is here.
     pub fn newest(&self) -> Option<&SignedChange> {
-        self.newest.as_ref()
+        self.log.last()
     }
 
     /// The changes that lead from `version` to the one in force; none if they are not all kept.
@@ -88,10 +88,9 @@
     pub fn apply(&mut self, change: Change, signed: SignedChange) -> Result<Applied, RolloutError> {
         match self.set.apply(&change) {
             Ok(applied) => {
-                self.newest = Some(signed.clone());
-                // The log follows the set step by step, so that it can refuse nothing that the set took.
-                if self.log.push(change.version, signed).is_err() {
-                    self.log.reset(change.version);
+                // The log follows the set step by step; were it ever to differ, it would begin anew.
+                if self.log.push(change.version, signed.clone()).is_err() {
+                    self.log.reset(change.version, signed);
                 }
                 self.early.retain(|version, _| *version > applied.version);
                 Ok(applied)
@@ -127,8 +126,7 @@
         &mut self, mut install: SnapshotInstall, signed: SignedChange,
     ) -> Result<Applied, RolloutError> {
         let applied = install.finish(&mut self.set)?;
-        self.newest = Some(signed);
-        self.log.reset(applied.version);
+        self.log.reset(applied.version, signed);
         self.early.retain(|version, _| *version > applied.version);
         Ok(applied)
     }
