--- a/crates/scale/src/command/run.rs
+++ b/crates/scale/src/command/run.rs
@@ -8,7 +8,7 @@
 use comfy_table::Table;
 use comfy_table::presets::ASCII_MARKDOWN;
 use indicatif::{ProgressBar, ProgressStyle};
-use scale::measurement::{Measurement, RoleCost};
+use scale::measurement::{Delays, Maintenance, Measurement, RoleCost};
 use scale::{Progress, RunError, Scenario};
 
 /// Exit status of a run that its real-time bound ended.
@@ -112,9 +112,27 @@
     println!("{relays} relays, seed {seed}: {simulated_s:.0} simulated seconds in {real_s:.1} s");
     println!("restarts and failures {speed_up} times as often as on an ordinary day");
     println!("{}", costs(&measurement.roles));
+    if let Some(Maintenance { turns, cost }) = &measurement.maintenance {
+        println!("maintenance: {turns} turns, {} messages of {} bytes", cost.messages, cost.bytes);
+    }
+    if measurement.detection.count + measurement.undetected > 0 {
+        let found = delays(&measurement.detection);
+        println!(
+            "dead relays known to all: {found}; not known to all at the end: {}",
+            measurement.undetected
+        );
+    }
+    println!("living relays taken for dead, pairs at looks: {}", measurement.false_alarms);
+    println!("{} events; waits for a permit: {}", measurement.events, delays(&measurement.permit_wait));
     Ok(())
 }
 
+fn delays(delays: &Delays) -> String {
+    let Delays { count, p50_us, p99_us, max_us, .. } = delays;
+    let [median, most, longest] = [p50_us, p99_us, max_us].map(|us| *us as f64 / 1e3);
+    format!("{count}, median {median:.1} ms, 99th percentile {most:.1} ms, longest {longest:.1} ms")
+}
+
 fn costs(roles: &[RoleCost]) -> Table {
     let mut table = Table::new();
     table.load_preset(ASCII_MARKDOWN);
--- a/crates/scale/src/run/memory.rs
+++ b/crates/scale/src/run/memory.rs
@@ -4,7 +4,7 @@
 use crate::scenario::Scenario;
 
 /// Bytes that a relay keeps for each other, on its link.
-const FOR_EACH_PEER: u64 = 400;
+const FOR_EACH_PEER: u64 = 200;
 /// Bytes that a relay keeps for each destination whose limit is listed.
 const FOR_EACH_LIMIT: u64 = 1000;
 /// Facts that a relay keeps at the most, and bytes for each.
