Split the runtime into a folder with one module a job

The file of 850 lines held the intake of messages, the ends of calls and messages, changes of the destination set, recovery, handover and the release of effects.

src/runtime/ now has intake, outcomes, actions, destinations, effects, held, inputs, recovery and handover; mod.rs keeps the type, its construction and the loop. Public paths stay: runtime::{Runtime, Caller, End}.

No behaviour changes.

--- /dev/null
+++ b/src/runtime/actions.rs
@@ -0,0 +1,70 @@
+//! The actions of the decision module, and how they are carried out.
+
+use record::model::cut;
+
+use crate::exchange::OutboundCall;
+use crate::fleet::ToFleet;
+use crate::interface::*;
+use crate::store::{Begun, Record};
+
+use super::{Effect, Runtime};
+
+impl Runtime {
+    /// Feeds an event to the module and carries out the resulting actions.
+    pub(super) fn handle(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.relay.handle(self.clock.now(), event, &mut actions);
+        self.carry_out(actions);
+    }
+
+    /// Carries out actions of the module.
+    pub(super) fn carry_out(&mut self, actions: Vec<Action>) {
+        let now = self.clock.now();
+        for action in actions {
+            self.carry_out_one(now, action);
+        }
+    }
+
+    fn carry_out_one(&mut self, now: Micros, action: Action) {
+        match action {
+            Action::Send { id, target, timeout, by } => self.send(id, target, (by, now + timeout)),
+            Action::Cancel { id, attempt } => self.effects.push(Effect::CallOff(id, attempt)),
+            Action::Refuse { id, after } => self.give_up(id, true, after),
+            Action::Fail(id) => self.give_up(id, false, None),
+            Action::Timer { token, after } => drop(self.timers.insert((now + after, token))),
+            Action::Close(target) => self.effects.push(Effect::Close(target)),
+            Action::Want { destination, tiers } => self.tell_fleet(ToFleet::Want(destination.0, tiers)),
+            Action::WantRepeats { destination, tiers } => {
+                self.tell_fleet(ToFleet::WantRepeats(destination.0, tiers));
+            }
+            // The platform's settings permit no probes, and the list is always watched.
+            Action::Probe(_) | Action::Watch => {}
+        }
+    }
+
+    /// Starts the next attempt of a message, with the latest time to start and the deadline of the call.
+    fn send(&mut self, id: MessageId, target: TargetId, (start_by, deadline): (Micros, Micros)) {
+        let Some(lane) = self.relay.lane(target) else { return };
+        let Some(held) = self.held.get_mut(&id) else { return };
+        let Some(address) = self.addresses.get(&target).cloned() else { return };
+        let attempt = held.attempts;
+        let exchange = held.exchange.clone();
+        held.attempts += 1;
+        held.out = Some((target, self.clock.now()));
+        let begun = held.trace.as_mut().map(|trace| {
+            let (at, endpoint) = (self.clock.now(), cut(&address));
+            trace.started(attempt, &endpoint, at);
+            Begun { at, endpoint }
+        });
+        // A first attempt earns the fleet's retry budget its share.
+        if attempt == 0 && self.settings.repeats {
+            self.tell_fleet(ToFleet::First(exchange.destination));
+        }
+        // The feature records an attempt only after the fact, so that the proofs show that they detect it.
+        if !cfg!(feature = "broken-order") {
+            self.records.push(Record::Started { id: exchange.id.clone(), attempt, begun });
+        }
+        let call = OutboundCall { exchange, attempt, target, address, lane, start_by, deadline };
+        self.effects.push(Effect::Call(id, call));
+    }
+}
--- /dev/null
+++ b/src/runtime/destinations.rs
@@ -0,0 +1,75 @@
+//! Changes of the destination set.
+
+use std::collections::HashSet;
+
+use tracing::warn;
+
+use crate::exchange::Member;
+use crate::fleet::ToFleet;
+use crate::interface::*;
+use crate::wire::RawEntry;
+
+use super::{Effect, Runtime};
+
+impl Runtime {
+    /// The destination set has changed, in whole or in part.
+    pub(super) fn listed(&mut self, form: ListForm, members: Vec<Member>) {
+        let mut raw = Vec::new();
+        let mut gone: HashSet<TargetId> = HashSet::new();
+        if form == ListForm::All {
+            gone.extend(self.addresses.keys());
+        }
+        for member in members {
+            let target = self.names.target(&member.id);
+            if member.entry.listed() == Listed::Gone {
+                gone.insert(target);
+            } else {
+                gone.remove(&target);
+            }
+            self.destinations.insert(member.entry.cell());
+            self.set_address(target, &member);
+            raw.push(member.entry);
+        }
+        let entries = self.read_entries(&raw);
+        for entry in &entries {
+            self.caller.clearance().listed(entry.target, entry.listed == Listed::InService);
+        }
+        self.tell_rates(&entries);
+        self.handle(Event::List(form, entries));
+        gone.into_iter().for_each(|target| self.remove_target(target));
+    }
+
+    /// Sets the address of an endpoint. Where it has moved, the old connections are closed.
+    fn set_address(&mut self, target: TargetId, member: &Member) {
+        if let Some(old) = self.addresses.insert(target, member.address.clone())
+            && old != member.address
+        {
+            self.effects.push(Effect::Close(target));
+        }
+    }
+
+    /// Reads the entries. One that is invalid is logged and does not hide the others.
+    fn read_entries(&mut self, raw: &[RawEntry]) -> Vec<Entry> {
+        let read = raw.iter().filter_map(|entry| {
+            let read = self.names.entries(std::slice::from_ref(entry));
+            read.inspect_err(|error| warn!("destination set: {error}")).ok()
+        });
+        read.flatten().collect()
+    }
+
+    /// Tells the fleet the rates of the destinations in service.
+    fn tell_rates(&self, entries: &[Entry]) {
+        let in_service = entries.iter().filter(|entry| entry.listed == Listed::InService);
+        let rates = in_service.map(|entry| (entry.destination.0, entry.rate)).collect();
+        self.tell_fleet(ToFleet::Listed(rates));
+    }
+
+    /// Removes an endpoint that is gone; endpoints are replaced as long as the process lives. The module sends nothing
+    /// more to it, and a call in flight has its address.
+    fn remove_target(&mut self, target: TargetId) {
+        self.caller.clearance().listed(target, false);
+        self.addresses.remove(&target);
+        self.names.forget(target);
+        self.effects.push(Effect::Close(target));
+    }
+}
--- /dev/null
+++ b/src/runtime/handover.rs
@@ -0,0 +1,130 @@
+//! Handover to another process, on both sides.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use tokio::sync::oneshot;
+
+use crate::handed::{Handed, HeldNow, LeftOut, Offer, OutNow};
+use crate::input::Retuned;
+use crate::interface::Event;
+use crate::standing::Phase;
+use crate::store::{Replay, StoreError, Stored};
+
+use super::{Held, Runtime};
+
+impl Runtime {
+    /// Offers the state to another process, between two batches, when the journal holds all decisions. Returns whether
+    /// the other process accepted; this one then never writes again and starts no call.
+    pub(super) async fn hand_over(&self, offer: Offer) -> bool {
+        if self.stop.is_some() {
+            return false;
+        }
+        self.standing.enter(Phase::HandingOver);
+        if offer.state.send(Box::new(self.handed())).is_ok() && offer.accepted.await.is_ok() {
+            // The other process receives all further advice, so it decides anew on calls that are not sent yet.
+            self.caller.clearance().stop(self.clock.now());
+            return true;
+        }
+        self.standing.enter(Phase::Serving);
+        false
+    }
+
+    /// The state that the journal does not hold.
+    fn handed(&self) -> Handed {
+        Handed {
+            journal: self.journal.mark(),
+            relay: self.relay.clone(),
+            names: self.names.clone(),
+            classes: self.classes.clone(),
+            met: self.met,
+            held: self.held.iter().map(|(message, held)| held.now(*message)).collect(),
+            addresses: self.addresses.iter().map(|(target, at)| (*target, at.clone())).collect(),
+            destinations: self.destinations.iter().copied().collect(),
+            timers: self.timers.iter().copied().collect(),
+            ended: self.ended.iter().cloned().collect(),
+            revision: self.revision.load(Ordering::Relaxed),
+            standby: self.standing.standby(),
+        }
+    }
+
+    /// The calls in flight, with their handles for cancelling them.
+    pub(super) fn left_out(self) -> LeftOut {
+        let held = self.held.into_iter().map(|(message, mut held)| (held.now(message).out, held.call.take()));
+        held.filter_map(|(out, off)| Some((out?, off))).collect()
+    }
+
+    /// Takes over the state of another process, which has released the store. Returns that process's calls in flight,
+    /// whose ends arrive as inputs, each with a receiver that signals when the call is to be cancelled.
+    ///
+    /// # Errors
+    /// Where the store fails.
+    pub fn adopt(
+        &mut self, handed: Handed, replay: Replay,
+    ) -> Result<Vec<(OutNow, oneshot::Receiver<()>)>, StoreError> {
+        let own = self.own_settings();
+        let held = self.adopt_state(handed);
+        self.resend(replay.notices);
+        let by_id = |stored: Stored| (stored.id.clone(), stored);
+        let mut stored: HashMap<String, Stored> = replay.messages.into_iter().map(by_id).collect();
+        let mut in_flight = Vec::new();
+        for message in held {
+            // The journal is authoritative: a message that it does not hold has ended.
+            match stored.remove(&message.exchange.id) {
+                Some(stored) => in_flight.extend(self.adopt_message(message, stored)),
+                None => self.drop_message(&message),
+            }
+        }
+        stored.into_values().for_each(|stored| self.resume_message(stored));
+        // The settings with which this process was started apply from here on.
+        self.retune(own);
+        self.commit()?;
+        Ok(in_flight)
+    }
+
+    /// The settings with which this process was started.
+    fn own_settings(&self) -> Retuned {
+        Retuned {
+            settings: self.settings.clone(),
+            classes: self.names.classes().to_vec(),
+            tenants: self.names.tenants().to_vec(),
+        }
+    }
+
+    /// Adopts all but the messages, which it returns.
+    fn adopt_state(&mut self, handed: Handed) -> Vec<HeldNow> {
+        let Handed { relay, names, classes, met, held, addresses, destinations, timers, ended, .. } = handed;
+        (self.relay, self.names, self.classes, self.met) = (relay, names, classes, met);
+        self.addresses = addresses.into_iter().collect();
+        self.destinations = destinations.into_iter().collect();
+        self.timers = timers.into_iter().collect();
+        ended.iter().for_each(|(at, id)| self.ended.remember(*at, id));
+        held
+    }
+
+    /// Holds a message of the other process; returns its call in flight, if there is one.
+    fn adopt_message(&mut self, message: HeldNow, stored: Stored) -> Option<(OutNow, oneshot::Receiver<()>)> {
+        let HeldNow { message, mut exchange, class, attempts, withdrawn, out } = message;
+        exchange.body = stored.body;
+        self.held_bytes += exchange.body.len();
+        self.ids.insert(exchange.id.clone(), message);
+        let sent = out.as_ref().map(|out| (out.target, out.began));
+        let (call, in_flight) = out.map(|out| self.adopt_call(out)).unzip();
+        let (exchange, trace) = (Arc::new(exchange), stored.trace);
+        let held = Held { exchange, attempts, call, out: sent, class, withdrawn, trace };
+        self.held.insert(message, held);
+        in_flight
+    }
+
+    fn adopt_call(&mut self, out: OutNow) -> (oneshot::Sender<()>, (OutNow, oneshot::Receiver<()>)) {
+        let (cancel, cancelled) = oneshot::channel();
+        self.out += 1;
+        (cancel, (out, cancelled))
+    }
+
+    fn drop_message(&mut self, message: &HeldNow) {
+        self.classes.release(message.class);
+        self.handle(Event::Gone(message.message));
+    }
+}
--- /dev/null
+++ b/src/runtime/inputs.rs
@@ -0,0 +1,86 @@
+//! Dispatch of inputs, and changes of settings.
+
+use record::model::Late;
+use tracing::warn;
+
+use crate::exchange::Receipt;
+use crate::input::{Input, Retuned};
+use crate::interface::*;
+use crate::net::inbound::Vocabulary;
+use crate::store::Record;
+
+use super::Runtime;
+
+impl Runtime {
+    /// Processes one input.
+    pub(super) fn input(&mut self, input: Input) {
+        match input {
+            Input::Handed(exchange, receipt, reply) => self.submitted(exchange, receipt, reply),
+            Input::Withdrawn(id) => self.withdrawn(&id),
+            Input::Ended(end) => self.call_ended(end),
+            Input::Listed(form, members) => self.listed(form, members),
+            Input::Told(hearsay) => self.handle(Event::Told(hearsay)),
+            Input::Permitted(given) => self.handle(Event::Permitted {
+                destination: DestinationId(given.destination),
+                permits: given.permits,
+                few: given.few,
+            }),
+            Input::Waits(destination, waits) => {
+                self.handle(Event::Waits { destination: DestinationId(destination), waits });
+            }
+            Input::Repeats(handed) => self.handle(Event::Repeats {
+                destination: DestinationId(handed.destination),
+                repeats: handed.repeats,
+                waits: handed.waits,
+            }),
+            Input::Receipt(receipt, late) => self.receipt(receipt, late),
+            Input::Recorded(numbers) => self.records.push(Record::Recorded(numbers)),
+            Input::Acknowledged(ids) => ids.into_iter().for_each(|id| self.acknowledged(id)),
+            Input::Retuned(retuned) => self.retune(*retuned),
+            // There is one offer at a time; a process whose offer is replaced sees its channel closed.
+            Input::Offer(offer) => self.offer = Some(offer),
+            Input::Stop(until) => self.stop(until),
+        }
+    }
+
+    /// Remembers a receipt. Without room it is dropped: what was answered stays as it is in any case.
+    fn receipt(&mut self, receipt: Receipt, late: Option<Late>) {
+        if let Some(late) = late {
+            self.came_late(late);
+        }
+        if self.journal.room(self.unwritten + receipt.bytes.len()) {
+            self.unwritten += receipt.bytes.len();
+            self.records.push(Record::Receipt(receipt));
+        } else {
+            warn!("no room to remember the receipt {:?}", receipt.key);
+        }
+    }
+
+    fn acknowledged(&mut self, id: String) {
+        self.owed.remove(&id);
+        self.records.push(Record::Acknowledged { id });
+    }
+
+    fn stop(&mut self, until: Micros) {
+        self.stop = Some((self.clock.now(), until));
+        self.caller.clearance().stop(self.settings.last_start(until));
+        self.handle(Event::Stop(until));
+    }
+
+    /// Applies other settings to the module, to new messages and to the clients' side.
+    pub(super) fn retune(&mut self, retuned: Retuned) {
+        let Retuned { settings, classes, tenants } = retuned;
+        self.classes.replace(&classes, &settings.classes);
+        self.max_held = settings.max_held as usize;
+        self.settings = settings;
+        self.names.rename(classes.clone(), tenants.clone());
+        self.tell_settings();
+        self.vocabulary.send_replace(Vocabulary { classes, tenants });
+    }
+
+    /// Gives the module the settings, with all class terms under which messages are held.
+    pub(super) fn tell_settings(&mut self) {
+        let settings = Settings { classes: self.classes.all(), ..self.settings.clone() };
+        self.handle(Event::Retuned(Box::new(settings)));
+    }
+}
--- /dev/null
+++ b/src/runtime/intake.rs
@@ -0,0 +1,136 @@
+//! Submission of messages by clients, and their withdrawal.
+
+use std::sync::Arc;
+
+use record::model::{Outcome as RecordedOutcome, Trace};
+use tokio::sync::oneshot;
+
+use crate::exchange::{Answer, Exchange, Receipt};
+use crate::interface::*;
+use crate::store::{Record, Stored};
+
+use super::{Effect, Held, Runtime};
+
+impl Runtime {
+    /// A client submits a message. It is accepted if there is room for it and the module does not give it up at once.
+    pub(super) fn submitted(
+        &mut self, exchange: Arc<Exchange>, receipt: Option<Receipt>, reply: oneshot::Sender<Answer>,
+    ) {
+        let receipt_bytes = receipt.as_ref().map_or(0, |receipt| receipt.bytes.len());
+        let bytes = exchange.body.len() + receipt_bytes + self.journal.to_end() as usize;
+        let class = match self.admit(&exchange, bytes) {
+            Ok(class) => class,
+            Err(answer) => return self.effects.push(Effect::Answer(reply, answer)),
+        };
+        let trace = self.outbox.is_some().then(|| Trace::new(self.clock.now()));
+        let arrival = self.arrival(exchange.clone(), class, 0, trace.clone());
+        let id = arrival.id;
+        let mut actions = Vec::new();
+        self.relay.handle(self.clock.now(), Event::Arrival(arrival), &mut actions);
+        let answer = take_answer(id, &mut actions);
+        if answer == Answer::Taken {
+            self.records.push(Record::Taken(self.first_stored(&exchange, class, trace)));
+            self.records.extend(receipt.map(Record::Receipt));
+            self.unwritten += bytes;
+        } else {
+            self.forget(id);
+        }
+        self.effects.push(Effect::Answer(reply, answer));
+        self.carry_out(actions);
+    }
+
+    /// Checks a message against what memory, disk and the module can hold, before anything is promised. Returns the
+    /// number of its class, or else the answer that turns it away. `bytes` is what it takes in the journal.
+    fn admit(&self, exchange: &Exchange, bytes: usize) -> Result<usize, Answer> {
+        if self.ids.contains_key(&exchange.id) || self.ended.contains(&exchange.id) {
+            return Err(Answer::TakenBefore);
+        }
+        let class = self.classes.current(&exchange.class).ok_or(Answer::Unknown)?;
+        if !self.destinations.contains(&exchange.destination) {
+            return Err(Answer::Refused("unknown dest".into(), None));
+        }
+        if self.held.len() >= self.max_held {
+            return Err(Answer::Refused("as many messages held as may be".into(), None));
+        }
+        if self.held_bytes + exchange.body.len() > self.max_bytes {
+            return Err(Answer::Refused("as many bytes held as may be".into(), None));
+        }
+        self.check_store(bytes)?;
+        Ok(class)
+    }
+
+    /// Checks that the journal and the record's outbox have room. The records of the current batch are not written
+    /// yet, but count.
+    fn check_store(&self, bytes: usize) -> Result<(), Answer> {
+        let outbox = self.outbox.as_ref();
+        if !self.journal.room(self.unwritten + bytes) {
+            let waiting = outbox.filter(|_| self.journal.entries() > 0);
+            let advice = waiting.map(|outbox| outbox.advice(self.clock.now()));
+            return Err(Answer::Refused("no room on the disk".into(), advice));
+        }
+        let refusal = outbox
+            .and_then(|outbox| outbox.refusal(self.clock.now(), self.journal.entries(), self.held.len()));
+        refusal.map_or(Ok(()), Err)
+    }
+
+    /// What the journal holds of a message that has just been accepted.
+    fn first_stored(&self, exchange: &Exchange, class: usize, trace: Option<Trace>) -> Stored {
+        Stored {
+            id: exchange.id.clone(),
+            class: exchange.class.clone(),
+            tenant: exchange.tenant.clone(),
+            destination: exchange.destination,
+            due: exchange.due,
+            body: exchange.body.clone(),
+            attempts: 0,
+            may_have_run: false,
+            terms: self.classes.terms(class).cloned(),
+            trace,
+        }
+    }
+
+    /// Holds a message and describes it for the module.
+    pub(super) fn arrival(
+        &mut self, exchange: Arc<Exchange>, class: usize, attempts: u32, trace: Option<Trace>,
+    ) -> Arrival {
+        self.met += 1;
+        let id = MessageId(self.met);
+        let Exchange { due, destination, .. } = *exchange;
+        let tenant = exchange.tenant.as_deref().and_then(|tenant| self.names.tenant(tenant));
+        self.classes.hold(class);
+        self.ids.insert(exchange.id.clone(), id);
+        self.held_bytes += exchange.body.len();
+        let held = Held { exchange, attempts, call: None, out: None, class, withdrawn: false, trace };
+        self.held.insert(id, held);
+        Arrival { id, class, tenant, key: None, due, destination: DestinationId(destination) }
+    }
+
+    /// A client left before it heard that its message was accepted. A call in flight is left to end.
+    pub(super) fn withdrawn(&mut self, id: &str) {
+        let Some(message) = self.ids.get(id).copied() else { return };
+        let Some(held) = self.held.get_mut(&message) else { return };
+        held.withdrawn = true;
+        if held.call.is_none() {
+            self.finish(message, RecordedOutcome::Withdrawn, None);
+        }
+        self.handle(Event::Gone(message));
+    }
+}
+
+/// Removes from the actions the immediate end of the message that has just arrived, and returns the answer to its
+/// client. Such a message was never accepted.
+fn take_answer(id: MessageId, actions: &mut Vec<Action>) -> Answer {
+    let mut answer = Answer::Taken;
+    actions.retain(|action| match action {
+        Action::Refuse { id: refused, after } if *refused == id => {
+            answer = Answer::Refused("refused".into(), *after);
+            false
+        }
+        Action::Fail(failed) if *failed == id => {
+            answer = Answer::Failed("failed".into());
+            false
+        }
+        _ => true,
+    });
+    answer
+}
--- /dev/null
+++ b/src/runtime/outcomes.rs
@@ -0,0 +1,140 @@
+//! The ends of calls and of messages, with what is recorded of them.
+
+use record::model::{Effect as RecordedEffect, Entry, Late, Outcome as RecordedOutcome, Trace};
+use tracing::debug;
+
+use crate::exchange::{CallEnd, Exchange, Notice};
+use crate::fleet;
+use crate::interface::*;
+use crate::recording::heard;
+use crate::store::Record;
+
+use super::held::Held;
+use super::{Effect, Runtime};
+
+impl Runtime {
+    /// A call has ended.
+    pub(super) fn call_ended(&mut self, end: CallEnd) {
+        self.out = self.out.saturating_sub(1);
+        let now = self.clock.now();
+        let Some(id) = self.ids.get(&end.id).copied() else { return self.ended_too_late(end, now) };
+        let Some(held) = self.held.get_mut(&id) else { return };
+        (held.call, held.out) = (None, None);
+        if let Some(fleet) = &self.fleet {
+            let _ = fleet.send(fleet::ended(held.exchange.destination, &end, now));
+        }
+        let told = held.trace.as_mut().map(|trace| {
+            let told = heard(now, end.outcome, end.evidence);
+            trace.ended(end.attempt, now, &told.result, told.effect, told.evidence.clone());
+            told
+        });
+        let withdrawn = held.withdrawn;
+        let over = end.over || end.outcome == Outcome::Ok || withdrawn;
+        if over {
+            let delivered = end.outcome == Outcome::Ok && !withdrawn;
+            let outcome = if delivered { RecordedOutcome::Delivered } else { RecordedOutcome::Withdrawn };
+            self.finish(id, outcome, None);
+        } else {
+            let may_have_run = end.outcome.may_have_run();
+            let (id, attempt) = (end.id, end.attempt);
+            self.records.push(Record::Outcome { id, attempt, may_have_run, heard: told });
+        }
+        let took = self.clock.now() - end.began;
+        let CallEnd { attempt, target, outcome, report, .. } = end;
+        let done = Done { id, attempt, target, outcome, took, over, report };
+        self.hold_back(&done, now);
+        self.handle(Event::Done(done));
+    }
+
+    /// A call ended after its message did. It is worth recording that it took effect all the same.
+    fn ended_too_late(&mut self, end: CallEnd, now: Micros) {
+        if end.outcome == Outcome::Ok {
+            self.came_late(Late {
+                id: end.id,
+                at: now,
+                kind: "answer".into(),
+                source: format!("attempt {}", end.attempt),
+                effect: RecordedEffect::Took,
+                mic: None,
+                detail: "an answer after the end".into(),
+            });
+        }
+    }
+
+    /// Holds back calls that are not sent yet, where an answer tells to wait. This also covers answers that another
+    /// process received.
+    fn hold_back(&self, done: &Done, now: Micros) {
+        if let (Some(wait), Some(lane)) = (done.told_wait(), self.relay.lane(done.target)) {
+            self.caller.clearance().wait(lane, now + wait);
+        }
+    }
+
+    /// The module gives a message up.
+    pub(super) fn give_up(&mut self, id: MessageId, handed_back: bool, after: Option<Micros>) {
+        let Some(name) = self.held.get(&id).map(|held| held.exchange.id.clone()) else { return };
+        let retry_in_ms = after.and_then(|after| u64::try_from(after / 1000).ok());
+        let outcome = if handed_back { RecordedOutcome::Refused } else { RecordedOutcome::Failed };
+        self.finish(id, outcome, Some(Notice { id: name, handed_back, retry_in_ms }));
+    }
+
+    /// A message that is held ends.
+    pub(super) fn finish(&mut self, id: MessageId, outcome: RecordedOutcome, notice: Option<Notice>) {
+        // Read before the message is released, which may drop its terms.
+        let once = self.held.get(&id).is_none_or(|held| self.once(held.class));
+        let Some(held) = self.forget(id) else { return };
+        self.over((&held.exchange, held.trace, outcome), once, notice);
+    }
+
+    /// Whether messages of a class are non-idempotent.
+    fn once(&self, class: usize) -> bool {
+        self.classes.terms(class).is_none_or(|terms| terms.effect == crate::interface::Effect::Unsafe)
+    }
+
+    /// Releases a message.
+    pub(super) fn forget(&mut self, id: MessageId) -> Option<Held> {
+        let held = self.held.remove(&id)?;
+        self.ids.remove(&held.exchange.id);
+        self.held_bytes -= held.exchange.body.len();
+        if self.classes.release(held.class) {
+            self.freed = true;
+        }
+        Some(held)
+    }
+
+    /// Stores the end of a message, reports a non-delivery and records the message's history.
+    pub(super) fn over(
+        &mut self, (exchange, trace, outcome): (&Exchange, Option<Trace>, RecordedOutcome), once: bool,
+        notice: Option<Notice>,
+    ) {
+        let (now, id) = (self.clock.now(), exchange.id.clone());
+        let attempts = trace.as_ref().map(|trace| trace.attempts.len());
+        debug!(message = id, destination = exchange.destination, outcome = outcome.word(), attempts, "ended");
+        self.ended.remember(now, &id);
+        if let Some(notice) = notice.clone() {
+            self.owed.insert(id.clone());
+            self.effects.push(Effect::Notice(notice));
+        }
+        self.records.push(Record::Ended { id, notice });
+        if let (Some(outbox), Some(trace)) = (&self.outbox, trace) {
+            let receipt = self.caller.expected(exchange);
+            let entry = outbox.end(exchange, once, trace, (now, outcome), receipt);
+            self.record(entry);
+        }
+    }
+
+    /// Records what came to light after the end of a message. Nothing was promised for it, so it yields its room to the
+    /// ends of messages held.
+    pub(super) fn came_late(&mut self, late: Late) {
+        if self.outbox.is_some() && self.journal.room(self.unwritten) {
+            self.record(Entry::Late(late));
+        }
+    }
+
+    /// Keeps an entry in the journal until the record has it.
+    fn record(&mut self, entry: Entry) {
+        let Some(outbox) = &mut self.outbox else { return };
+        let number = outbox.number();
+        self.records.push(Record::Entry { number, bytes: entry.encode().into() });
+        self.effects.push(Effect::Record(number, entry));
+    }
+}
--- /dev/null
+++ b/src/runtime/recovery.rs
@@ -0,0 +1,93 @@
+//! Recovery at a start: restores the messages, reports and entries that an earlier process left in the journal.
+
+use std::sync::Arc;
+
+use record::model::{Entry, Outcome as RecordedOutcome, Trace};
+use tracing::{error, warn};
+
+use crate::exchange::{Exchange, Member, Notice};
+use crate::interface::*;
+use crate::store::{Replay, StoreError, Stored};
+
+use super::{Effect, Runtime};
+
+/// The endpoint in the history of a message whose attempts were made before there was a record.
+const UNKNOWN_ENDPOINT: &str = "unknown";
+
+impl Runtime {
+    /// Loads the destination set as last known and the health observations about it, and resumes what an earlier
+    /// process left unfinished.
+    ///
+    /// # Errors
+    /// Where the store fails.
+    pub fn resume(
+        &mut self, known: Vec<Member>, said: Vec<Hearsay>, replay: Replay,
+    ) -> Result<(), StoreError> {
+        self.listed(ListForm::All, known);
+        said.into_iter().for_each(|hearsay| self.handle(Event::Told(hearsay)));
+        self.resend(replay.notices);
+        for (number, bytes) in replay.entries {
+            self.resume_entry(number, &bytes);
+        }
+        for stored in replay.messages {
+            self.resume_message(stored);
+        }
+        self.commit()
+    }
+
+    /// Sends again the non-delivery reports that were not acknowledged.
+    pub(super) fn resend(&mut self, notices: Vec<Notice>) {
+        for notice in notices {
+            self.owed.insert(notice.id.clone());
+            self.effects.push(Effect::Notice(notice));
+        }
+    }
+
+    /// Passes an entry to the record that an earlier process could not.
+    fn resume_entry(&mut self, number: u64, bytes: &[u8]) {
+        match (&self.outbox, Entry::decode(bytes)) {
+            (Some(_), Some(entry)) => self.effects.push(Effect::Record(number, entry)),
+            (Some(_), None) => {
+                error!("entry {number} for the record cannot be read and stays in the journal")
+            }
+            (None, _) => warn!("entry {number} waits in the journal until a record is configured again"),
+        }
+    }
+
+    /// Holds a stored message again. One whose class is gone ends as failed.
+    pub(super) fn resume_message(&mut self, mut stored: Stored) {
+        let terms = stored.terms.clone().or_else(|| self.current_terms(&stored.class));
+        let trace = self.resumed_trace(&mut stored);
+        let Stored { id, class, tenant, due, destination, body, attempts, may_have_run, .. } = stored;
+        let exchange = Exchange { id, class, tenant, due, destination, body };
+        let Some(terms) = terms else {
+            error!(message = exchange.id, "taken on for class {:?}, which is no more", exchange.class);
+            let notice = Notice { id: exchange.id.clone(), handed_back: false, retry_in_ms: None };
+            return self.over((&exchange, trace, RecordedOutcome::Failed), true, Some(notice));
+        };
+        let (class, new) = self.classes.intern(&exchange.class, &terms);
+        let arrival = self.arrival(Arc::new(exchange), class, attempts, trace);
+        if new {
+            self.tell_settings();
+        }
+        self.handle(Event::Resumed { arrival, attempts, may_have_run });
+    }
+
+    fn current_terms(&self, class: &str) -> Option<Class> {
+        let number = self.classes.current(class)?;
+        self.classes.terms(number).cloned()
+    }
+
+    /// The message's history. Where it was accepted before there was a record, as much of it as is known.
+    fn resumed_trace(&self, stored: &mut Stored) -> Option<Trace> {
+        self.outbox.as_ref()?;
+        if let Some(trace) = stored.trace.take() {
+            return Some(trace);
+        }
+        let mut trace = Trace::new(self.clock.now());
+        if stored.may_have_run || stored.attempts > 0 {
+            trace.started(stored.attempts.saturating_sub(1), UNKNOWN_ENDPOINT, trace.taken_at);
+        }
+        Some(trace)
+    }
+}
