Split the control socket and what it shows out of the fleet's shell

What an operator is shown is as before. The log tells each version that comes in force. The encoder of the set's file has a test of its own.

--- a/crates/destinations/tests/file.rs
+++ b/crates/destinations/tests/file.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{content, filled, publish, put};
-use destinations::persist::{Decoder, FileError, encode};
+use destinations::persist::{Decoder, Encoder, FileError, SetChanged, encode};
 use destinations::{BucketError, DestinationSet};
 
 fn read(file: &[u8], piece: usize) -> Result<DestinationSet, FileError> {
@@ -24,6 +24,22 @@
     }
 }
 
+#[test]
+fn a_file_made_piece_by_piece_is_the_same_and_is_given_up_once_the_set_changes() {
+    let (mut set, _) = filled(500);
+    let mut encoder = Encoder::new(&set);
+    let mut pieces = Vec::new();
+    while let Some(piece) = encoder.next_piece(&set).unwrap() {
+        pieces.push(piece);
+    }
+    assert_eq!(pieces.concat(), encode(&set).collect::<Vec<_>>().concat());
+    assert_eq!(encoder.next_piece(&set), Ok(None), "and nothing follows");
+    let mut encoder = Encoder::new(&set);
+    assert!(matches!(encoder.next_piece(&set), Ok(Some(_))));
+    publish(&mut set, vec![]);
+    assert_eq!(encoder.next_piece(&set), Err(SetChanged), "also where only the version is another");
+}
+
 /// Every byte of the header, of the first and last buckets and of the checksum, and places all over the rest, where
 /// most buckets are empty.
 fn places(length: usize) -> impl Iterator<Item = usize> {
--- a/src/fleet/distribution/mod.rs
+++ b/src/fleet/distribution/mod.rs
@@ -107,6 +107,7 @@
             Ok(permit) => {
                 let members = self.listing.update(self.node.set(), std::mem::take(&mut self.untold));
                 permit.send(Input::Listed(ListForm::Changes, members));
+                info!("destination set {} is in force", self.node.set().version());
                 self.offer_at = Micros::MAX;
             }
             Err(TrySendError::Full(())) => self.offer_at = now + OFFER_AGAIN,
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -3,18 +3,18 @@
 //! the journal, and a control socket that shows all of it. Owns these sockets and files. It must never make a message
 //! wait; what stewards and peers say reaches the module as events, and what it means is the module's to decide.
 
+mod control;
 mod cuts;
 mod distribution;
 mod kept;
+mod show;
 mod snapshot;
 mod told;
 mod turning;
 
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::time::Duration;
 
 use ::fleet::keys::Keys;
 use ::fleet::link::{self, Channel, Link};
@@ -26,10 +26,9 @@
 use permits::{Sharing, earlier, node as permit};
 use repeats::node as repeat;
 use serde_json::{Value, json};
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::{UdpSocket, UnixListener, UnixStream};
+use tokio::net::{UdpSocket, UnixListener};
 use tokio::sync::mpsc::error::TrySendError;
-use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::JoinHandle;
 use tracing::{debug, info, warn};
 
@@ -38,6 +37,7 @@
 use crate::interface::{Hearsay, Micros, RuleFigures};
 use crate::standing::Standing;
 
+use control::{ASKED, Asked, accept, listen, serve};
 use cuts::Cuts;
 use distribution::Distribution;
 pub use distribution::{Before, DistributionSetup};
@@ -53,12 +53,6 @@
 const BATCH: usize = 64;
 /// Where messages of any worth have to wait for so long at a steward, no relay goes out for work.
 const STRAIN: Micros = 1_000_000;
-/// An operator's line comes whole within this, and is no longer than that.
-const LINE_WITHIN: Duration = Duration::from_secs(2);
-const LONGEST_LINE: u64 = 4096;
-/// Operators that wait for an answer at the most.
-const ASKED: usize = 8;
-
 /// How a relay is set up in its fleet.
 #[derive(Clone, Debug)]
 pub struct Setup {
@@ -216,15 +210,6 @@
     Peer::try_from(all.len()).unwrap_or(Peer::MAX)
 }
 
-/// The control socket. What an earlier process left there answers nobody.
-fn listen(path: &Path) -> std::io::Result<UnixListener> {
-    match std::fs::remove_file(path) {
-        Err(error) if error.kind() != ErrorKind::NotFound => return Err(error),
-        _ => {}
-    }
-    UnixListener::bind(path)
-}
-
 /// The channels that there are, the most urgent first.
 fn channels<'a>(
     permits: &'a mut Option<permit::Node>, repeats: &'a mut Option<repeat::Node>,
@@ -239,9 +224,6 @@
     permits.chain(repeats).chain(turns).chain(distribution).chain(facts).collect()
 }
 
-/// What an operator asks, and where the answer goes.
-type Asked = (String, oneshot::Sender<Value>);
-
 impl Shell {
     async fn run(mut self, mut told: mpsc::UnboundedReceiver<ToFleet>, control: Option<UnixListener>) {
         let mut buffer = [0; 512];
@@ -440,76 +422,7 @@
         match (serde_json::from_str::<Value>(line), &mut self.turning) {
             (Ok(order), Some(turning)) if order.is_object() => turning.asked(now, &order),
             (Ok(order), None) if order.is_object() => json!({"error": "this relay takes no turns"}),
-            _ => self.show(),
+            _ => show::show(self),
         }
     }
-
-    /// All that an operator may ask for.
-    fn show(&self) -> Value {
-        let now = self.clock.now();
-        let ago = |at: Micros| (now - at) as f64 / 1e6;
-        let facts = self.facts.as_ref().map(|(facts, ..)| facts);
-        let trust = |peer| facts.map(|facts| facts.ledger().trust.of(peer));
-        let peer = |(peer, member): (Peer, ::fleet::members::Member)| {
-            json!({"peer": peer, "standing": format!("{:?}", member.standing).to_lowercase(),
-                "incarnation": member.incarnation, "heard_s_ago": member.heard.map(ago),
-                "trust": trust(peer)})
-        };
-        let fact = |(fact, weight): (peers::fact::Fact, f64)| {
-            json!({"destination": fact.destination, "known": fact.known, "seen_s_ago": ago(fact.at),
-                "by": fact.source, "hops": fact.hops, "weight": weight})
-        };
-        let share = |share: permit::Share| {
-            json!({"destination": share.destination, "steward": share.steward, "own": share.own,
-                "lent": share.lent, "of": share.of, "sliced": share.sliced})
-        };
-        let peers: Vec<Value> = self.link.members().all().map(peer).collect();
-        let known: Vec<Value> =
-            facts.map(|facts| facts.ledger().all(now).map(fact).collect()).unwrap_or_default();
-        let shares: Vec<Value> =
-            self.permits.iter().flat_map(|permits| permits.shares(now)).map(share).collect();
-        let counts = self.link.counts();
-        let ignored: serde_json::Map<String, Value> =
-            counts.ignored.iter().map(|(why, n)| (why.to_string(), json!(n))).collect();
-        let queues: Vec<Value> = self
-            .permits
-            .iter()
-            .flat_map(|permits| permits.queues(now))
-            .map(|queue| cuts::show(&queue))
-            .collect();
-        let budget = |budget: repeat::Budget| {
-            let repeat::Budget { destination, keeper, credits, counts, waiting: [here, asked] } = budget;
-            json!({"destination": destination, "keeper": keeper, "credits": credits, "firsts": counts.firsts,
-                "spent": counts.spent, "given": counts.given, "had": counts.had, "waiting": here, "asked": asked})
-        };
-        let budgets: Vec<Value> =
-            self.repeats.iter().flat_map(|repeats| repeats.budgets(now)).map(budget).collect();
-        let turns = self.turning.as_ref().map(|turning| turning.show(now));
-        let configuration = self.distribution.as_ref().map(|distribution| distribution.show(now));
-        json!({"peers": peers, "facts": known, "shares": shares, "overload": queues, "repeats": budgets, "turns": turns, "configuration": configuration, "sent": counts.sent,
-            "bytes": counts.bytes, "taken": counts.taken, "ignored": ignored, "skipped": counts.skipped,
-            "news": facts.map_or(0, Facts::news_count)})
-    }
-}
-
-async fn accept(control: Option<&UnixListener>) -> std::io::Result<UnixStream> {
-    match control {
-        Some(listener) => listener.accept().await.map(|(stream, _)| stream),
-        None => std::future::pending().await,
-    }
-}
-
-/// One line asks, one line answers.
-async fn serve(mut stream: UnixStream, ask: mpsc::Sender<Asked>) {
-    let (read, mut write) = stream.split();
-    let mut line = String::new();
-    let mut read = BufReader::new(read.take(LONGEST_LINE));
-    let whole = tokio::time::timeout(LINE_WITHIN, read.read_line(&mut line)).await;
-    let (answer, answered) = oneshot::channel();
-    if matches!(whole, Ok(Ok(_)))
-        && ask.send((line, answer)).await.is_ok()
-        && let Ok(answer) = answered.await
-    {
-        let _ = write.write_all(format!("{answer}\n").as_bytes()).await;
-    }
 }
