--- a/src/fleet/show.rs
+++ b/src/fleet/show.rs
@@ -17,7 +17,8 @@
     let facts = shell.facts.as_ref().map(|(facts, ..)| facts);
     let members = shell.link.members().all();
     let peers: Vec<Value> = members.map(|(peer, member)| show_peer(now, peer, &member, facts)).collect();
-    let known = facts.map(|facts| facts.ledger().all(now).map(|known| show_fact(now, &known)).collect());
+    let known = facts.into_iter().flat_map(|facts| facts.ledger().all(now));
+    let known: Vec<Value> = known.map(|known| show_fact(now, &known)).collect();
     let permits = shell.permits.iter();
     let shares: Vec<Value> =
         permits.clone().flat_map(|permits| permits.shares(now)).map(show_share).collect();
@@ -30,7 +31,7 @@
         counts.ignored.iter().map(|(why, count)| (why.to_string(), json!(count))).collect();
     json!({
         "peers": peers,
-        "facts": known.unwrap_or_else(Vec::<Value>::new),
+        "facts": known,
         "shares": shares,
         "overload": queues,
         "repeats": budgets,
