Bear up to 200 relays in the rig, reckoned against the machine before they start

The hollow relays of the scale harness are to be anchored by real processes at up to 200 relays; the rig took 100, and found out by failed starts what the machine does not bear.

A scenario may name 200 relays. Before a fleet starts, its descriptors are reckoned against the soft limit of this process, and its memory against half of the machine's; no limit is changed. What is set up before a play moved from play.rs to a module of its own, so that other runs start fleets the same way, and the fabric counts datagrams and bytes by sender.

Unit tests and clippy of the rig pass. No play was run: the machine is shared with other builds.

--- a/crates/rig/src/fabric.rs
+++ b/crates/rig/src/fabric.rs
@@ -48,6 +48,15 @@
     parts.iter().take_while(|size| (end += **size, end <= relay).1).count()
 }
 
+/// What one relay sent over the fabric.
+#[derive(Debug, Default)]
+pub struct SenderCounts {
+    /// Datagrams.
+    pub messages: AtomicU64,
+    /// Bytes of their payloads, without the headers of UDP and IP.
+    pub bytes: AtomicU64,
+}
+
 /// What went over the fabric.
 #[derive(Debug, Default)]
 pub struct Counts {
@@ -57,6 +66,25 @@
     pub bytes: AtomicU64,
     /// Notes over 256 bytes: none may be.
     pub too_long: AtomicU64,
+    /// What each relay sent, by its number.
+    pub senders: Vec<SenderCounts>,
+}
+
+impl Counts {
+    /// Counts of so many relays, all at zero.
+    fn of(relays: usize) -> Self {
+        Counts { senders: (0..relays).map(|_| SenderCounts::default()).collect(), ..Counts::default() }
+    }
+
+    fn sent(&self, from: usize, bytes: usize) {
+        self.notes.fetch_add(1, Ordering::Relaxed);
+        self.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+        self.too_long.fetch_add(u64::from(bytes > MOST), Ordering::Relaxed);
+        if let Some(sender) = self.senders.get(from) {
+            sender.messages.fetch_add(1, Ordering::Relaxed);
+            sender.bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+        }
+    }
 }
 
 /// The most bytes of a note.
@@ -69,7 +97,7 @@
 pub async fn start(
     scenario: Arc<Scenario>, seed: u64, clock: Clock, carriers: &[SocketAddr], relays: &[SocketAddr],
 ) -> std::io::Result<Arc<Counts>> {
-    let counts = Arc::new(Counts::default());
+    let counts = Arc::new(Counts::of(relays.len()));
     let by_address: HashMap<IpAddr, usize> = relays.iter().enumerate().map(|(n, at)| (at.ip(), n)).collect();
     let by_address = Arc::new(by_address);
     let mut sockets = Vec::new();
@@ -85,9 +113,7 @@
             let mut buffer = [0; 2048];
             while let Ok((n, source)) = socket.recv_from(&mut buffer).await {
                 let Some(from) = by_address.get(&source.ip()).copied() else { continue };
-                counts.notes.fetch_add(1, Ordering::Relaxed);
-                counts.bytes.fetch_add(n as u64, Ordering::Relaxed);
-                counts.too_long.fetch_add(u64::from(n > MOST), Ordering::Relaxed);
+                counts.sent(from, n);
                 let at_s = clock.now_s();
                 let (fates, spoilt) = {
                     let mut rng = rng.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -162,7 +162,7 @@
             .stderr(Stdio::piped());
         let mut child = command.spawn().with_context(|| self.program.display().to_string())?;
         let lines = child.stderr.take().map(|stderr| BufReader::new(stderr).lines());
-        let mut log = fs::File::options().create(true).append(true).open(self.folder.join("log"))?;
+        let mut log = fs::File::options().create(true).append(true).open(self.log())?;
         let (tell, ready) = watch::channel(false);
         self.ready = ready;
         std::thread::spawn(move || {
@@ -182,6 +182,16 @@
         self.folder.join("control")
     }
 
+    /// Where its log is.
+    pub fn log(&self) -> PathBuf {
+        self.folder.join("log")
+    }
+
+    /// The number that the system gave it, while it runs.
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Sends it a signal.
     pub fn signal(&self, signal: Signal) {
         let id = self.child.as_ref().and_then(|child| i32::try_from(child.id()).ok());
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -3,8 +3,8 @@
 //! [`scenario`] is what is to be played, [`fabric`] what becomes of a note between two relays, [`partner`] and
 //! [`agent`] the stand-ins of partners and of discovery, [`fleet`] the processes, [`load`] the clients, [`front`] what sends them to a relay that is ready, [`clock`] the time of all of them, [`audit`] the
 //! findings, [`yardstick`] what a relay
-//! with perfect knowledge would serve, [`play`] one play of all of it, [`report`]
-//! its plots. It must never look into a relay: what is not seen on a socket, or by the
+//! with perfect knowledge would serve, [`stage`] what is set up before a play, [`play`] one play of all of it, [`report`]
+//! its plots, [`resources`] what a fleet takes of the machine. It must never look into a relay: what is not seen on a socket, or by the
 //! end of a process, does not count. It speaks to 127.0.0.0/8 alone.
 
 pub mod agent;
@@ -18,5 +18,7 @@
 pub mod partner;
 pub mod play;
 pub mod report;
+pub mod resources;
 pub mod scenario;
+pub mod stage;
 pub mod yardstick;
--- a/crates/rig/src/partner.rs
+++ b/crates/rig/src/partner.rs
@@ -12,6 +12,7 @@
 
 use crate::audit::{Book, Call, Got};
 use crate::clock::Clock;
+use crate::fleet::Net;
 use crate::http;
 use crate::scenario::{Partners, Scenario, What};
 
@@ -122,6 +123,21 @@
     }
 }
 
+/// Starts all partners of a scenario.
+///
+/// # Errors
+/// Where a socket is not to be had.
+pub async fn start_all(
+    scenario: &Arc<Scenario>, seed: u64, clock: &Clock, net: &Net, book: &Book,
+) -> std::io::Result<()> {
+    for number in 0..scenario.each_partner().len() {
+        let listens: Vec<_> = (0..scenario.relays).map(|relay| net.partner(relay, number)).collect();
+        let seed = seed ^ ((number as u64 + 1) << 40);
+        start(scenario.clone(), number, seed, clock.clone(), &listens, book.clone()).await?;
+    }
+    Ok(())
+}
+
 /// Starts a partner that listens for each relay at an address of its own.
 ///
 /// # Errors
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::PoisonError;
 use std::time::Duration;
 
 use anyhow::{Context, Result, bail};
@@ -16,13 +16,13 @@
 use crate::audit::{Book, Down, Span, Verdict, audit};
 use crate::clock::Clock;
 use crate::fabric::{self, Counts};
-use crate::fleet::{Net, Process, configuration};
+use crate::fleet::Process;
 use crate::front::Front;
 use crate::scenario::{Scenario, What};
-use crate::{agent, load, partner};
+pub use crate::stage::Build;
+use crate::stage::{Processes, Stage, ready, with};
+use crate::{load, partner};
 
-/// All have to be ready within this.
-const READY_WITHIN: Duration = Duration::from_secs(30);
 /// After the last message's time is up, what is owed may still come for so long.
 const AFTER: Duration = Duration::from_millis(1800);
 /// A play in which one message in a hundred left later than this did not keep up.
@@ -106,97 +106,20 @@
     deeds
 }
 
-type Processes = Arc<Vec<Mutex<Process>>>;
-
-fn with<T>(processes: &Processes, relay: usize, act: impl FnOnce(&mut Process) -> T) -> Option<T> {
-    let process = processes.get(relay)?;
-    Some(act(&mut process.lock().unwrap_or_else(PoisonError::into_inner)))
-}
-
-/// Waits until a relay is ready, or the time is up.
-async fn ready(processes: &Processes, relay: usize) -> bool {
-    let Some(mut ready) = with(processes, relay, |process| process.ready.clone()) else { return false };
-    matches!(tokio::time::timeout(READY_WITHIN, ready.wait_for(|ready| *ready)).await, Ok(Ok(_)))
-}
-
-/// A build that is played: its program, and what its environment says beside the rig's own.
-#[derive(Clone, Debug)]
-pub struct Build {
-    /// The program.
-    pub program: PathBuf,
-    /// Variables and their values.
-    pub environment: Vec<(String, String)>,
-    /// A build from before, and how many relays run it, the last ones.
-    pub older: Option<(PathBuf, usize)>,
-}
-
-impl Build {
-    /// One that all relays run.
-    pub fn of(program: PathBuf, environment: Vec<(String, String)>) -> Self {
-        Build { program, environment, older: None }
-    }
-
-    /// What a relay of so many runs.
-    fn of_relay(&self, relay: usize, relays: usize) -> &Path {
-        let older = self.older.as_ref().filter(|(_, last)| relay + last >= relays);
-        older.map_or(&self.program, |(older, _)| older)
-    }
-}
-
 /// Plays a scenario with a build; files are left in `folder`.
 ///
 /// # Errors
 /// Where a stand-in or a process does not start.
 pub async fn play(scenario: Scenario, seed: u64, build: &Build, folder: &Path) -> Result<(Outcome, Book)> {
-    // What was written before, by a build say, is not to be written while relays wait for their own disk.
-    tokio::task::spawn_blocking(nix::unistd::sync).await?;
-    let scenario = Arc::new(scenario);
-    let (net, book) = (Net::claim()?, Book::default());
-    let folder: PathBuf = std::path::absolute(folder)?;
-    if folder.exists() {
-        std::fs::remove_dir_all(&folder).with_context(|| folder.display().to_string())?;
-    }
+    let stage = Stage::set(scenario, seed, build, folder).await?;
+    stage.start().await?;
+    let Stage { scenario, net, book, clock, processes } = stage;
     let relays: Vec<usize> = (0..scenario.relays).collect();
-    let clock = Clock::default();
-    let partners = scenario.each_partner();
-    let mut processes = Vec::new();
-    for relay in &relays {
-        let listed = partners
-            .iter()
-            .enumerate()
-            .map(|(n, p)| (net.partner(*relay, n), if p.listed { p.per_s } else { 0.0 }));
-        let list = agent::list(&listed.collect::<Vec<_>>());
-        let config = configuration(&scenario, &net, *relay, seed, list.clone());
-        agent::start(scenario.clone(), *relay, clock.clone(), net.agent(*relay), list, book.clone()).await?;
-        let own = folder.join(format!("n{relay}"));
-        let mut environment = build.environment.clone();
-        if scenario.turns > 0 {
-            environment.push(("TULIPFALL_TURNS".into(), scenario.turns.to_string()));
-        }
-        let program = std::path::absolute(build.of_relay(*relay, scenario.relays))?;
-        processes.push(Mutex::new(Process::new(&program, &environment, own, &config)?));
-    }
-    let processes: Processes = Arc::new(processes);
     let carriers: Vec<_> = relays.iter().map(|relay| net.carrier(*relay)).collect();
     let hears: Vec<_> = relays.iter().map(|relay| net.notes(*relay)).collect();
-    for relay in &relays {
-        with(&processes, *relay, Process::start).context("no such relay")??;
-    }
-    for relay in &relays {
-        if !ready(&processes, *relay).await {
-            bail!(
-                "relay {relay} did not become ready; see {}",
-                folder.join(format!("n{relay}/log")).display()
-            );
-        }
-    }
     clock.begin();
     let counts = fabric::start(scenario.clone(), seed, clock.clone(), &carriers, &hears).await?;
-    for number in 0..partners.len() {
-        let listens: Vec<_> = relays.iter().map(|relay| net.partner(*relay, number)).collect();
-        let seed = seed ^ ((number as u64 + 1) << 40);
-        partner::start(scenario.clone(), number, seed, clock.clone(), &listens, book.clone()).await?;
-    }
+    partner::start_all(&scenario, seed, &clock, &net, &book).await?;
     let deeds = tokio::spawn(carry_out(deeds(&scenario), clock.clone(), processes.clone(), book.clone()));
     let front = match scenario.turns {
         0 => Front::blind(scenario.relays),
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -9,7 +9,7 @@
 use toml::Spanned;
 
 /// The most relays of a play: each has an address of its own in one network of loopback.
-pub const MOST_RELAYS: usize = 100;
+pub const MOST_RELAYS: usize = 200;
 /// The longest play, in seconds.
 const MOST_SECONDS: f64 = 600.0;
 /// The most messages a second that one machine is asked for.
@@ -394,7 +394,7 @@
             Ok(())
         };
         let whole = 0;
-        need((1..=MOST_RELAYS).contains(&self.relays), whole, "relays", "1 to 100")?;
+        need((1..=MOST_RELAYS).contains(&self.relays), whole, "relays", &format!("1 to {MOST_RELAYS}"))?;
         need(self.seconds > 0.0 && self.seconds <= MOST_SECONDS, whole, "seconds", "over 0, at most 600")?;
         let Load { per_s, paid_extra, skew, only, come_back, .. } = &self.load;
         need(*per_s > 0.0 && *per_s <= MOST_PER_S, whole, "load.per_s", "over 0, at most 5000")?;
