Measure in the rig what control costs in real processes, beside hollow relays

What the scale harness says of hollow relays in simulated time is to rest on real processes at the same sizes, with a difference over a fifth explained or mended.

`rig anchor` starts fleets of the sizes in crates/rig/scenarios/anchor.toml, three runs each: no control role, permits, health observations. It measures each from outside, first idle and then under a steady load: datagrams and bytes by sender at the fabric, processor time from /proc/PID/stat, resident memory from smaps_rollup. Costs are the records of crate `scale`, with processors and memory over the run without roles. `--compare` joins them with the hollow relays' records and marks differences over a fifth; `--measured` does so with what an earlier run wrote. A run in which the fabric lost datagrams or events left late is marked and ends with status 3.

--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,5 +1,7 @@
 //! The command line of the rig.
 
+mod anchor_command;
+
 use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
@@ -95,6 +97,8 @@
         #[arg(long, default_value = "target/rig/play/report.html")]
         page: PathBuf,
     },
+    /// Measures what control costs in real processes, by role, beside what hollow relays say at the same sizes
+    Anchor(anchor_command::AnchorArgs),
     /// Plays two builds in pairs on the same seeds, and prints medians and spread of each phase
     Compare {
         /// The scenario
@@ -174,6 +178,7 @@
             println!("{}", page.display());
             Ok(0)
         }
+        Command::Anchor(args) => anchor_command::anchor(&args),
         Command::Compare { file, before, after, before_env, after_env, seeds, folder } => {
             let before = Build::of(before, before_env);
             let after = Build::of(after, after_env);
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -8,6 +8,8 @@
 use serde::Deserialize;
 use toml::Spanned;
 
+use crate::anchor::plan::Plan;
+
 /// The most relays of a play: each has an address of its own in one network of loopback.
 pub const MOST_RELAYS: usize = 200;
 /// The longest play, in seconds.
@@ -45,6 +47,9 @@
     /// Spans of the play with what must hold in them.
     #[serde(default, rename = "phase")]
     pub phases: Vec<Spanned<Phase>>,
+    /// How `rig anchor` measures with it; a play takes no notice.
+    #[serde(default)]
+    pub anchor: Option<Plan>,
 }
 
 /// Notes between relays where nothing is broken.
@@ -368,6 +373,22 @@
         Ok(self)
     }
 
+    /// The same with a load of so many seconds; a fault that lasts to the end still does.
+    ///
+    /// # Errors
+    /// Where what it says makes no sense within so long.
+    pub fn lasting(mut self, seconds: f64) -> Result<Self> {
+        let old = std::mem::replace(&mut self.seconds, seconds);
+        for fault in &mut self.faults {
+            let fault = fault.get_mut();
+            if fault.to_s == old {
+                fault.to_s = seconds;
+            }
+        }
+        self.check("").with_context(|| format!("with {seconds} seconds"))?;
+        Ok(self)
+    }
+
     /// Each partner's terms, in the order of destinations.
     pub fn each_partner(&self) -> Vec<Partners> {
         let partners = self.partners.iter().map(Spanned::get_ref);
@@ -446,6 +467,9 @@
             need(!wish || self.turns > 0, at, "fault.kind", "turns over 0 where relays are wished out")?;
             need(!process || fault.flap_s == 0.0, at, "fault.flap_s", "0 where processes are stopped")?;
         }
+        if let Some(plan) = &self.anchor {
+            plan.check(self.seconds)?;
+        }
         for phase in &self.phases {
             let (at, phase) = (phase.span().start, phase.get_ref());
             let timely = 0.0 <= phase.from_s && phase.from_s < phase.to_s && phase.to_s <= self.seconds;
