--- a/crates/rig/src/anchor/comparison.rs
+++ b/crates/rig/src/anchor/comparison.rs
@@ -7,7 +7,7 @@
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 
-use super::measurement::AnchorMeasurement;
+use super::measurement::{AnchorMeasurement, Period};
 
 /// A difference of a greater part than this is explained or mended.
 pub const MOST_DIFFERENCE: f64 = 0.2;
@@ -77,9 +77,11 @@
     pub relays: u32,
     /// The role.
     pub role: Role,
+    /// Whether there were events.
+    pub period: Period,
     /// Inputs that are not the same on both sides, each with both values; what differs there explains nothing else.
     pub other_inputs: Vec<String>,
-    /// All quantities; none where no hollow run has such a role at this size.
+    /// All quantities; none where no hollow run has the role at this size, idle or under load as here.
     pub differences: Vec<Difference>,
 }
 
@@ -118,21 +120,27 @@
 }
 
 fn compare_role(anchor: &AnchorMeasurement, cost: &RoleCost, hollow: &[Measurement]) -> Comparison {
-    let (relays, role) = (anchor.relays, cost.role);
-    let at_this_size = hollow.iter().filter(|run| run.relays == relays);
-    let with_the_role = at_this_size.filter_map(|run| Some((run, hollow_cost(run, role)?)));
+    let (relays, role, period) = (anchor.relays, cost.role, anchor.period);
+    let comparable = hollow.iter().filter(|run| run.relays == relays && period_of(run) == period);
+    let with_the_role = comparable.filter_map(|run| Some((run, hollow_cost(run, role)?)));
     let nearest = with_the_role.min_by(|(a, _), (b, _)| distance(anchor, a).total_cmp(&distance(anchor, b)));
     match nearest {
-        None => Comparison { relays, role, other_inputs: Vec::new(), differences: Vec::new() },
+        None => Comparison { relays, role, period, other_inputs: Vec::new(), differences: Vec::new() },
         Some((run, of_hollow)) => Comparison {
             relays,
             role,
+            period,
             other_inputs: other_inputs(anchor, run),
             differences: differences(anchor, cost, run, &of_hollow),
         },
     }
 }
 
+/// Whether a hollow run had events.
+fn period_of(run: &Measurement) -> Period {
+    if run.events_per_s > 0.0 { Period::Load } else { Period::Idle }
+}
+
 /// What a hollow run's role costs, as it shows from outside: relays that tell each other observations ask in the same
 /// datagrams who is there, so that the cost of membership is part of it.
 fn hollow_cost(run: &Measurement, role: Role) -> Option<RoleCost> {
--- a/crates/rig/src/anchor/measurement.rs
+++ b/crates/rig/src/anchor/measurement.rs
@@ -187,7 +187,7 @@
     if of > 0.0 { sum / of } else { 0.0 }
 }
 
-/// The part of destinations that refuse all through the load.
+/// The part of destinations that are down midway through the load.
 fn share_down(scenario: &Scenario, period: Period) -> f64 {
     let destinations = scenario.each_partner().len();
     let down = match period {
@@ -199,6 +199,10 @@
 
 fn is_down(scenario: &Scenario, destination: usize) -> bool {
     let midway = scenario.seconds / 2.0;
-    let shuts = |what: &What| matches!(what, What::Shut { partners } if partners.contains(&destination));
-    scenario.broken(midway).any(shuts)
+    let is_hit = |what: &What| match what {
+        What::Shut { partners } => partners.contains(&destination),
+        What::Fails { partners, part } => *part >= 1.0 && partners.contains(&destination),
+        _ => false,
+    };
+    scenario.broken(midway).any(is_hit)
 }
--- a/crates/rig/src/anchor/table.rs
+++ b/crates/rig/src/anchor/table.rs
@@ -7,7 +7,7 @@
 use super::measurement::AnchorMeasurement;
 
 /// Columns at the left that hold words, in both tables.
-const WORD_COLUMNS: usize = 3;
+const WORD_COLUMNS: usize = 4;
 /// What stands beside a difference that has to be explained.
 const LARGE: &str = "over 20%";
 
@@ -65,7 +65,7 @@
 
 /// A table of comparisons, a row for each quantity.
 pub fn compared(comparisons: &[Comparison]) -> String {
-    let mut table = table(&["relays", "role", "quantity", "rig", "hollow", "difference", ""]);
+    let mut table = table(&["relays", "role", "period", "quantity", "rig", "hollow", "difference", ""]);
     for comparison in comparisons {
         for row in compared_rows(comparison) {
             table.add_row(row);
@@ -75,14 +75,15 @@
 }
 
 fn compared_rows(comparison: &Comparison) -> Vec<Vec<String>> {
-    let place = [comparison.relays.to_string(), role_name(comparison.role).to_string()];
+    let Comparison { relays, role, period, .. } = comparison;
+    let place = [relays.to_string(), role_name(*role).to_string(), period.name().to_string()];
     let row = |cells: [String; 5]| place.iter().cloned().chain(cells).collect::<Vec<_>>();
     let remark = |quantity: &str, remark: String| {
         row([quantity.into(), String::new(), String::new(), String::new(), remark])
     };
     let mut rows = Vec::new();
     if comparison.differences.is_empty() {
-        rows.push(remark("", "no hollow run at this size has the role".into()));
+        rows.push(remark("", "no such hollow run at this size".into()));
     }
     for difference in &comparison.differences {
         rows.push(row(difference_cells(difference)));
--- a/crates/rig/tests/anchor.rs
+++ b/crates/rig/tests/anchor.rs
@@ -79,19 +79,21 @@
 }
 
 fn hollow(relays: u32, events_per_s: f64, roles: Vec<RoleCost>) -> Measurement {
-    Measurement {
-        relays,
-        destinations: 20,
-        share_down: if events_per_s > 0.0 { 0.1 } else { 0.0 },
-        events_per_s,
-        changes_per_day: 0.0,
-        seed: 7,
-        simulated_s: 10.0,
-        real_s: 0.1,
-        roles,
-        detection: Delays::default(),
-        in_force: Delays::default(),
-    }
+    // As JSON, which may leave out what came to the record later.
+    let record = serde_json::json!({
+        "relays": relays,
+        "destinations": 20,
+        "share_down": if events_per_s > 0.0 { 0.1 } else { 0.0 },
+        "events_per_s": events_per_s,
+        "changes_per_day": 0.0,
+        "seed": 7,
+        "simulated_s": 10.0,
+        "real_s": 0.1,
+        "roles": roles,
+        "detection": Delays::default(),
+        "in_force": Delays::default(),
+    });
+    serde_json::from_value(record).expect("it is a measurement")
 }
 
 fn comparison_of(comparisons: &[Comparison], role: Role) -> &Comparison {
@@ -199,10 +201,20 @@
     let plan = scenario.anchor.clone().expect("it has a plan");
     for relays in [3, 30, 100, 200] {
         let sized = plan.scenario(&scenario, relays).expect("it makes sense at this size");
-        assert_eq!(sized.each_partner().len(), 20);
+        let part_of_limits = sized.load.per_s / sized.full();
+        assert_eq!((sized.each_partner().len(), part_of_limits), (20, 0.8), "{relays} relays");
     }
 }
 
+#[test]
+fn what_fails_every_call_counts_as_down() {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios/anchor-down.toml");
+    let scenario = Scenario::load(&file).expect("it makes sense");
+    let measured = measurements(&scenario, 7, &runs()).expect("there is a baseline");
+    let shares_down: Vec<(Period, f64)> = measured.iter().map(|m| (m.period, m.share_down)).take(2).collect();
+    assert_eq!(shares_down, [(Period::Idle, 0.0), (Period::Load, 0.1)]);
+}
+
 #[test]
 fn each_run_switches_one_role_on() {
     let switched_on = |settings: RoleSettings| {
@@ -274,7 +286,7 @@
         hollow(2, 10.0, vec![cost(Role::Member, 100, 3000), cost(Role::LimitCoordinator, 480, 16_000)]),
     ];
     let comparisons = compare(&measured(), &hollow);
-    let loaded = comparisons.iter().filter(|c| c.role == Role::LimitCoordinator).nth(1);
+    let loaded = comparisons.iter().find(|c| c.role == Role::LimitCoordinator && c.period == Period::Load);
     let loaded = loaded.expect("permits were measured under load");
     assert_eq!(loaded.other_inputs, Vec::<String>::new());
     assert_eq!(quantity(loaded, "messages_per_event"), [4.0, 4.8]);
@@ -299,8 +311,12 @@
     assert_eq!(quantity(member, "messages_per_s"), [5.0, 5.0]);
     assert_eq!(member.other_inputs, Vec::<String>::new());
     let only_loaded = compare(&measured(), &idle_and_loaded[..1]);
-    let member = comparison_of(&only_loaded, Role::Member);
-    assert_eq!(member.other_inputs, ["share_down 0 and 0.1", "events_per_s 0 and 10"]);
+    assert!(comparison_of(&only_loaded, Role::Member).differences.is_empty(), "it was measured idle");
+    let other = [hollow(2, 20.0, vec![cost(Role::LimitCoordinator, 1, 1)])];
+    let comparisons = compare(&measured(), &other);
+    let loaded = comparisons.iter().find(|c| c.role == Role::LimitCoordinator && c.period == Period::Load);
+    let loaded = loaded.expect("permits were measured under load");
+    assert_eq!(loaded.other_inputs, ["events_per_s 10 and 20"]);
 }
 
 #[test]
@@ -317,7 +333,7 @@
 fn a_role_that_no_hollow_run_has_is_shown_as_missing() {
     let comparisons = compare(&measured(), &[hollow(30, 10.0, vec![cost(Role::Member, 1, 1)])]);
     assert!(comparisons.iter().all(|comparison| comparison.differences.is_empty()));
-    assert!(table::compared(&comparisons).contains("no hollow run at this size has the role"));
+    assert!(table::compared(&comparisons).contains("no such hollow run at this size"));
 }
 
 #[test]
