Fit a cost against a size, and choose the form it grows with

What a relay's control costs at the coming size must be predicted from smaller runs, so the growth needs a form.

--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -1,4 +1,5 @@
 //! Placeholder of the crate `scale`; its modules follow.
 #![forbid(unsafe_code)]
 
+pub mod fit;
 pub mod measurement;
