--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -3,3 +3,5 @@
 
 pub mod fit;
 pub mod measurement;
+pub mod page;
+pub mod slopes;
