--- a/crates/scale/tests/slopes.rs
+++ b/crates/scale/tests/slopes.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use scale::fit::Form;
-use scale::measurement::{Delays, Measurement, Role, RoleCost};
+use scale::measurement::{Delays, Measurement, Role};
 use scale::slopes::assess::{Prediction, assess};
 use scale::slopes::axis::{Axis, Conditions};
 use scale::slopes::execute::{Run, State, execute};
@@ -14,6 +14,7 @@
 use scale::slopes::projection::{Combination, project};
 use scale::slopes::quantity::{Quantity, Subject};
 use scale::slopes::table::{figure, file_tables, percent};
+use serde_json::json;
 
 const BASE: Conditions = Conditions {
     relays: 60,
@@ -42,44 +43,33 @@
     }
 }
 
-fn cost(role: Role, bytes_per_s: f64, memory_bytes: f64) -> RoleCost {
-    RoleCost {
-        role,
-        machines: 1,
-        messages: 0,
-        bytes: 0,
-        bytes_per_s,
-        peak_bytes_per_s: 2.0 * bytes_per_s,
-        messages_per_s: 1.0,
-        cores: 0.001,
-        memory_bytes,
-    }
+fn cost(role: Role, machines: u32, bytes_per_s: f64, memory_bytes: f64) -> serde_json::Value {
+    json!({
+        "role": role, "machines": machines, "messages": 0, "bytes": 0, "bytes_per_s": bytes_per_s,
+        "peak_bytes_per_s": 2.0 * bytes_per_s, "messages_per_s": 1.0, "cores": 0.001, "memory_bytes": memory_bytes,
+    })
 }
 
 /// Members grow with relays and destinations in turn, coordinators with the product of both; health observations grow
 /// with the relays until 100, and with their square beyond.
 fn measure(conditions: Conditions) -> Measurement {
-    let (relays, destinations) = (f64::from(conditions.relays), f64::from(conditions.destinations));
+    let machines = conditions.relays;
+    let (relays, destinations) = (f64::from(machines), f64::from(conditions.destinations));
     let knee = if relays > 100.0 { relays * relays / 100.0 } else { relays };
-    let on_each_relay = |cost: RoleCost| RoleCost { machines: conditions.relays, ..cost };
-    Measurement {
-        relays: conditions.relays,
-        destinations: conditions.destinations,
-        share_down: conditions.share_down,
-        events_per_s: conditions.events_per_relay * relays,
-        changes_per_day: conditions.changes_per_day,
-        seed: 1,
-        simulated_s: 10.0,
-        real_s: 0.1,
-        roles: vec![
-            on_each_relay(cost(Role::Member, 5.0 * relays + destinations, 2e6)),
-            on_each_relay(cost(Role::LimitCoordinator, relays * destinations / 100.0, 1e6)),
-            on_each_relay(cost(Role::HealthObservations, 10.0 * knee, 5e5)),
-            cost(Role::ControlMachine, 90_000.0, 1e9),
+    let measurement = json!({
+        "relays": machines, "destinations": conditions.destinations, "share_down": conditions.share_down,
+        "events_per_s": conditions.events_per_relay * relays, "changes_per_day": conditions.changes_per_day,
+        "seed": 1, "simulated_s": 10.0, "real_s": 0.1,
+        "roles": [
+            cost(Role::Member, machines, 5.0 * relays + destinations, 2e6),
+            cost(Role::LimitCoordinator, machines, relays * destinations / 100.0, 1e6),
+            cost(Role::HealthObservations, machines, 10.0 * knee, 5e5),
+            cost(Role::ControlMachine, 3, 90_000.0, 1e9),
         ],
-        detection: Delays { count: 1, p50_us: 1_000, p99_us: 2_500, p999_us: 2_500, max_us: 2_500 },
-        in_force: Delays::default(),
-    }
+        "detection": Delays { count: 1, p50_us: 1_000, p99_us: 2_500, p999_us: 2_500, max_us: 2_500 },
+        "in_force": Delays::default(),
+    });
+    serde_json::from_value(measurement).unwrap()
 }
 
 fn run(conditions: Conditions, _: Duration) -> Run {
