Measure the slopes with one command, and plot them

The fits need points. `scale slopes` runs each point in a process of its own, two at a time, since allocations are counted over a whole process; a point that its bound of real time ends is kept as partial. `scale report` prints the tables and plots points and curves, and `scale page` puts the figures into a page.

--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod progress;
 pub mod queue;
 pub mod random;
+pub mod report;
 pub mod run;
 pub mod scenario;
 pub mod slopes;
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -25,11 +25,24 @@
 enum Command {
     /// Runs one scenario, and prints what it measured. Ends with status 3 where its real-time bound ended it.
     Run(command::run::RunArgs),
+    /// Measures how costs grow with each size of the fleet, and predicts them for the coming size.
+    Slopes(command::slopes::SlopesArgs),
+    /// Puts the figures of a file of slopes in the place of the marked figures of a page.
+    Page(command::page::PageArgs),
+    /// Writes tables and plots of a file of slopes.
+    Report(command::report::ReportArgs),
+    /// Runs one point of the slopes in a process of its own: the scenario as JSON comes on standard input.
+    #[command(hide = true)]
+    Point(command::point::PointArgs),
 }
 
 fn main() -> ExitCode {
     let outcome = match Cli::parse().command {
         Command::Run(args) => command::run::run(&args),
+        Command::Slopes(args) => command::slopes::slopes(&args),
+        Command::Page(args) => command::page::page(&args),
+        Command::Report(args) => command::report::report(&args),
+        Command::Point(args) => command::point::point(&args),
     };
     outcome.unwrap_or_else(|error| {
         eprintln!("scale: {error:#}");
--- a/crates/scale/src/slopes.rs
+++ b/crates/scale/src/slopes.rs
@@ -12,4 +12,5 @@
 pub mod plan;
 pub mod projection;
 pub mod quantity;
+pub mod scenario;
 pub mod table;
--- a/crates/scale/tests/slopes.rs
+++ b/crates/scale/tests/slopes.rs
@@ -37,6 +37,7 @@
             Conditions { relays: 90, destinations: 400, ..BASE },
             Conditions { relays: 200, destinations: 1_600, ..BASE },
         ],
+        warm_up_s: 5,
         simulated_s: 10,
         bound: Duration::from_secs(10),
         bound_of_all: Duration::from_secs(60),
