--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -6,6 +6,7 @@
 //! out. [`network`], [`queue`] and [`random`] know nothing of the cores and serve other simulations as well.
 #![forbid(unsafe_code)]
 
+pub mod destinations;
 pub mod fit;
 pub mod measurement;
 pub mod network;
@@ -18,6 +19,7 @@
 pub mod scenario;
 pub mod slopes;
 pub mod time;
+pub mod traffic;
 
 pub use measurement::Measurement;
 pub use progress::Progress;
