--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -7,13 +7,17 @@
 #![forbid(unsafe_code)]
 
 pub mod destinations;
+pub mod fit;
 pub mod measurement;
 pub mod network;
+pub mod page;
 pub mod progress;
 pub mod queue;
 pub mod random;
+pub mod report;
 pub mod run;
 pub mod scenario;
+pub mod slopes;
 pub mod time;
 pub mod traffic;
 
