--- a/crates/rig/tests/anchor.rs
+++ b/crates/rig/tests/anchor.rs
@@ -12,7 +12,7 @@
 use rig::anchor::socket_drops::dropped;
 use rig::anchor::table;
 use rig::scenario::Scenario;
-use scale::measurement::{Delays, Measurement, Role, RoleCost};
+use scale::measurement::{Measurement, Role, RoleCost};
 
 /// A line of `/proc/PID/stat` whose command has a space and a bracket in its name.
 const STAT: &str = "4242 (a b) c) S 1 4242 4242 0 -1 4194304 500 0 0 0 37 5 0 0 20 0 9 0 71272 3133440 406 \
@@ -89,8 +89,7 @@
         simulated_s: 10.0,
         real_s: 0.1,
         roles,
-        detection: Delays::default(),
-        in_force: Delays::default(),
+        ..Measurement::default()
     }
 }
 
--- a/crates/scale/src/measurement.rs
+++ b/crates/scale/src/measurement.rs
@@ -66,7 +66,7 @@
 }
 
 /// What one run measured.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Measurement {
     /// Relays in the run.
     pub relays: u32,
