--- a/crates/rig/tests/anchor.rs
+++ b/crates/rig/tests/anchor.rs
@@ -12,7 +12,7 @@
 use rig::anchor::socket_drops::dropped;
 use rig::anchor::table;
 use rig::scenario::Scenario;
-use scale::measurement::{Delays, Measurement, Role, RoleCost};
+use scale::measurement::{Measurement, Role, RoleCost};
 
 /// A line of `/proc/PID/stat` whose command has a space and a bracket in its name.
 const STAT: &str = "4242 (a b) c) S 1 4242 4242 0 -1 4194304 500 0 0 0 37 5 0 0 20 0 9 0 71272 3133440 406 \
@@ -79,21 +79,18 @@
 }
 
 fn hollow(relays: u32, events_per_s: f64, roles: Vec<RoleCost>) -> Measurement {
-    // As JSON, which may leave out what came to the record later.
-    let record = serde_json::json!({
-        "relays": relays,
-        "destinations": 20,
-        "share_down": if events_per_s > 0.0 { 0.1 } else { 0.0 },
-        "events_per_s": events_per_s,
-        "changes_per_day": 0.0,
-        "seed": 7,
-        "simulated_s": 10.0,
-        "real_s": 0.1,
-        "roles": roles,
-        "detection": Delays::default(),
-        "in_force": Delays::default(),
-    });
-    serde_json::from_value(record).expect("it is a measurement")
+    Measurement {
+        relays,
+        destinations: 20,
+        share_down: if events_per_s > 0.0 { 0.1 } else { 0.0 },
+        events_per_s,
+        changes_per_day: 0.0,
+        seed: 7,
+        simulated_s: 10.0,
+        real_s: 0.1,
+        roles,
+        ..Measurement::default()
+    }
 }
 
 fn comparison_of(comparisons: &[Comparison], role: Role) -> &Comparison {
