Measure limits from a base of their own, and fleets of members above their knee

Below 65 relays a member asks all others and above it a bounded number, so a trial from 30 relays predicted 636 bytes a second at 300 where 892 were measured. Limits cost most of a run's time, which made the shared base too slow. Roles are now measured in groups, and a relay is projected as the sum of its roles.

--- a/crates/scale/src/command/point.rs
+++ b/crates/scale/src/command/point.rs
@@ -12,6 +12,7 @@
 use scale::progress::Silent;
 use scale::slopes::axis::Conditions;
 use scale::slopes::execute::Run;
+use scale::slopes::plan::Group;
 use scale::{Measurement, RunError, Scenario};
 
 /// Exit status of a point that its bound of real time ended.
@@ -42,27 +43,28 @@
 }
 
 /// Runs a scenario in a process of its own; what goes wrong becomes a failed or partial run.
-pub fn run_in_process(scenario: &Scenario, conditions: Conditions, seed: u64, bound: Duration) -> Run {
+pub fn run_in_process(scenario: &Scenario, group: &Group, conditions: Conditions, seed: u64) -> Run {
+    let bound = Duration::from_secs_f64(scenario.real_time_limit_s);
     let begun = Instant::now();
     let ended = start(scenario, seed).and_then(|child| wait(child, begun + bound + GRACE));
     let real = begun.elapsed();
     match ended {
         Ok(Ended { status: Some(0), measurement: Some(measurement), .. }) => {
-            Run::complete(conditions, real, measurement)
+            Run::complete(group, conditions, real, measurement)
         }
         Ok(Ended { status: Some(status), measurement: Some(measurement), .. })
             if status == i32::from(PARTIAL) =>
         {
             let reached = measurement.simulated_s / scenario.seconds;
             let reason = format!("ended by its bound of {:.0} s of real time", bound.as_secs_f64());
-            Run::partial(conditions, real, reached, reason)
+            Run::partial(group, conditions, real, reached, reason)
         }
         Ok(Ended { status: None, .. }) => {
             let reason = format!("its process was ended {} s after its bound", GRACE.as_secs());
-            Run::partial(conditions, real, 0.0, reason)
+            Run::partial(group, conditions, real, 0.0, reason)
         }
-        Ok(ended) => Run::failed(conditions, real, 0.0, ended.message()),
-        Err(error) => Run::failed(conditions, real, 0.0, format!("{error:#}")),
+        Ok(ended) => Run::failed(group, conditions, real, ended.message()),
+        Err(error) => Run::failed(group, conditions, real, format!("{error:#}")),
     }
 }
 
--- a/crates/scale/src/command/slopes.rs
+++ b/crates/scale/src/command/slopes.rs
@@ -14,7 +14,7 @@
 use scale::slopes::execute::{Run, execute};
 use scale::slopes::file::{SlopesFile, VERSION};
 use scale::slopes::machine::Machine;
-use scale::slopes::plan::Plan;
+use scale::slopes::plan::{Group, Plan};
 use scale::slopes::projection::project;
 use scale::slopes::scenario::{built_in_fleet, scenario_of};
 use scale::slopes::table::file_tables;
@@ -66,8 +66,8 @@
         commit: args.commit.clone().unwrap_or_else(commit),
         extent: plan.extent,
         machine,
-        base: plan.base,
         projections: project(&plan, &runs, &slopes),
+        groups: plan.groups,
         slopes,
         runs,
     };
@@ -80,11 +80,11 @@
 }
 
 fn measure(fleet: &Scenario, plan: &Plan, seed: u64) -> Vec<Run> {
-    let count = plan.conditions().len();
+    let count = plan.points().len();
     let (bar, done) = (ProgressBar::new(count as u64), AtomicUsize::new(0));
-    let runs = execute(plan, |conditions: Conditions, bound: Duration| {
-        let scenario = scenario_of(fleet, plan, &conditions, bound);
-        let run = run_in_process(&scenario, conditions, seed, bound);
+    let runs = execute(plan, |group: &Group, conditions: Conditions, bound: Duration| {
+        let scenario = scenario_of(fleet, plan, group, &conditions, bound);
+        let run = run_in_process(&scenario, group, conditions, seed);
         bar.set_position(done.fetch_add(1, Ordering::Relaxed) as u64 + 1);
         run
     });
--- a/crates/scale/src/page.rs
+++ b/crates/scale/src/page.rs
@@ -204,7 +204,7 @@
     let projection = file.projection(subject, quantity)?;
     let check = projection.check;
     Some(match field {
-        "base" => Value::Number(projection.base),
+        "base" => Value::of(projection.base),
         "form" => Value::Word(projection.combination.name()),
         "predicted" => Value::of(check.map(|check| check.predicted)),
         "measured" => Value::of(check.map(|check| check.measured)),
--- a/crates/scale/src/slopes/assess.rs
+++ b/crates/scale/src/slopes/assess.rs
@@ -4,23 +4,23 @@
 
 use super::axis::{Axis, Conditions};
 use super::execute::Run;
-use super::plan::Plan;
+use super::plan::{Group, Plan};
 use super::quantity::{AtTarget, Quantity, Subject};
 use crate::fit::{Fit, FitError, Point, choose_form, relative_error};
 
 /// A prediction that is further off than this part of the measured value marks its form as wrong.
 pub const TOLERATED_ERROR: f64 = 0.20;
 
-/// Whether a form predicted what was measured.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// Whether a form predicted what was measured; the worst comes last.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Prediction {
     /// Within [`TOLERATED_ERROR`].
     Held,
-    /// Further off: the form is wrong.
-    Failed,
     /// There were too few points to predict from.
     NotMade,
+    /// Further off: the form is wrong.
+    Failed,
 }
 
 impl Prediction {
@@ -81,19 +81,24 @@
 /// Assesses every quantity along every axis of the plan that any run measured.
 pub fn assess(plan: &Plan, runs: &[Run]) -> Vec<Slope> {
     let mut slopes = Vec::new();
-    for subject in Subject::ALL {
-        for &quantity in subject.quantities() {
-            for &(axis, _) in &plan.sizes {
-                let points = points(&plan.base, axis, subject, quantity, runs);
-                if !points.is_empty() {
-                    slopes.push(assess_points(subject, axis, quantity, &plan.base, points));
-                }
+    for group in &plan.groups {
+        for &subject in &group.subjects {
+            for &quantity in subject.quantities() {
+                slopes.extend(assess_quantity(group, subject, quantity, runs));
             }
         }
     }
     slopes
 }
 
+fn assess_quantity(group: &Group, subject: Subject, quantity: Quantity, runs: &[Run]) -> Vec<Slope> {
+    let on_axis = |&(axis, _): &(Axis, _)| {
+        let points = points(group, axis, subject, quantity, runs);
+        (!points.is_empty()).then(|| assess_points(subject, axis, quantity, &group.base, points))
+    };
+    group.sizes.iter().filter_map(on_axis).collect()
+}
+
 /// Assesses one quantity of one subject along one axis; the points in the order of their sizes.
 pub fn assess_points(
     subject: Subject, axis: Axis, quantity: Quantity, base: &Conditions, points: Vec<Point>,
@@ -117,8 +122,10 @@
     Ok(Check { fit, size: largest.size, predicted, measured: largest.value, error })
 }
 
-fn points(base: &Conditions, axis: Axis, subject: Subject, quantity: Quantity, runs: &[Run]) -> Vec<Point> {
-    let on_axis = runs.iter().filter(|run| base.differs_only_on(axis, &run.conditions));
+fn points(group: &Group, axis: Axis, subject: Subject, quantity: Quantity, runs: &[Run]) -> Vec<Point> {
+    let on_axis = runs
+        .iter()
+        .filter(|run| run.group == group.name && group.base.differs_only_on(axis, &run.conditions));
     let mut points: Vec<Point> = on_axis
         .filter_map(|run| {
             let value = quantity.of(subject, run.measurement.as_ref()?)?;
--- a/crates/scale/src/slopes/axis.rs
+++ b/crates/scale/src/slopes/axis.rs
@@ -30,6 +30,11 @@
         changes_per_day: 1_600.0,
     };
 
+    /// Events a second over all relays.
+    pub fn events_per_s(&self) -> f64 {
+        self.events_per_relay * f64::from(self.relays)
+    }
+
     /// Whether the two differ on this axis alone, or not at all.
     pub fn differs_only_on(&self, axis: Axis, other: &Self) -> bool {
         axis.set(self, 1.0) == axis.set(other, 1.0)
--- a/crates/scale/src/slopes/execute.rs
+++ b/crates/scale/src/slopes/execute.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::axis::Conditions;
-use super::plan::Plan;
+use super::plan::{Group, Plan};
 use crate::measurement::Measurement;
 
 /// Points that are measured at the same time.
@@ -28,6 +28,8 @@
 /// What became of one point.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Run {
+    /// Name of the group of roles.
+    pub group: String,
     /// The sizes.
     pub conditions: Conditions,
     /// How it ended.
@@ -48,8 +50,9 @@
 
 impl Run {
     /// A point that ran to its end.
-    pub fn complete(conditions: Conditions, real: Duration, measurement: Measurement) -> Self {
+    pub fn complete(group: &Group, conditions: Conditions, real: Duration, measurement: Measurement) -> Self {
         Self {
+            group: group.name.clone(),
             conditions,
             state: State::Complete,
             reason: None,
@@ -61,33 +64,37 @@
     }
 
     /// A point that did not end in its time.
-    pub fn partial(conditions: Conditions, real: Duration, reached: f64, reason: String) -> Self {
-        Self::ended(conditions, State::Partial, real, reached, reason)
+    pub fn partial(
+        group: &Group, conditions: Conditions, real: Duration, reached: f64, reason: String,
+    ) -> Self {
+        Self::ended(group, conditions, State::Partial, real, reached, reason)
     }
 
     /// A point whose run failed.
-    pub fn failed(conditions: Conditions, real: Duration, reached: f64, reason: String) -> Self {
-        Self::ended(conditions, State::Failed, real, reached, reason)
+    pub fn failed(group: &Group, conditions: Conditions, real: Duration, reason: String) -> Self {
+        Self::ended(group, conditions, State::Failed, real, 0.0, reason)
     }
 
-    fn ended(conditions: Conditions, state: State, real: Duration, reached: f64, reason: String) -> Self {
-        let (reason, real_s) = (Some(reason), real.as_secs_f64());
-        Self { conditions, state, reason, reached, simulated_s: 0.0, real_s, measurement: None }
+    fn ended(
+        group: &Group, conditions: Conditions, state: State, real: Duration, reached: f64, reason: String,
+    ) -> Self {
+        let (group, reason, real_s) = (group.name.clone(), Some(reason), real.as_secs_f64());
+        Self { group, conditions, state, reason, reached, simulated_s: 0.0, real_s, measurement: None }
     }
 }
 
-/// Measures every point of the plan; `measure` gets the conditions and the real time that it may take.
+/// Measures every point of the plan; `measure` gets the group, the conditions and the real time that it may take.
 ///
-/// The runs come in the order of [`Plan::conditions`], whatever order they ended in.
-pub fn execute(plan: &Plan, measure: impl Fn(Conditions, Duration) -> Run + Sync) -> Vec<Run> {
-    let conditions = plan.conditions();
+/// The runs come in the order of [`Plan::points`], whatever order they ended in.
+pub fn execute(plan: &Plan, measure: impl Fn(&Group, Conditions, Duration) -> Run + Sync) -> Vec<Run> {
+    let points = plan.points();
     let begun = Instant::now();
-    let next = Mutex::new(conditions.iter().copied().enumerate());
-    let runs = Mutex::new(Vec::with_capacity(conditions.len()));
+    let next = Mutex::new(points.iter().copied().enumerate());
+    let runs = Mutex::new(Vec::with_capacity(points.len()));
     let take = || next.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).next();
     let work = || {
-        while let Some((index, conditions)) = take() {
-            let run = measure_within(plan, conditions, begun, &measure);
+        while let Some((index, (group, conditions))) = take() {
+            let run = measure_within(plan, &plan.groups[group], conditions, begun, &measure);
             runs.lock().unwrap_or_else(|poisoned| poisoned.into_inner()).push((index, run));
         }
     };
@@ -102,12 +109,13 @@
 }
 
 fn measure_within(
-    plan: &Plan, conditions: Conditions, begun: Instant, measure: impl Fn(Conditions, Duration) -> Run,
+    plan: &Plan, group: &Group, conditions: Conditions, begun: Instant,
+    measure: impl Fn(&Group, Conditions, Duration) -> Run,
 ) -> Run {
     let left = plan.bound_of_all.saturating_sub(begun.elapsed());
     if left.is_zero() {
         let reason = format!("not begun: all points together may take {} s", plan.bound_of_all.as_secs());
-        return Run::partial(conditions, Duration::ZERO, 0.0, reason);
+        return Run::partial(group, conditions, Duration::ZERO, 0.0, reason);
     }
-    measure(conditions, plan.bound.min(left))
+    measure(group, conditions, plan.bound.min(left))
 }
--- a/crates/scale/src/slopes/file.rs
+++ b/crates/scale/src/slopes/file.rs
@@ -8,10 +8,10 @@
 use thiserror::Error;
 
 use super::assess::Slope;
-use super::axis::{Axis, Conditions};
+use super::axis::Axis;
 use super::execute::Run;
 use super::machine::Machine;
-use super::plan::Extent;
+use super::plan::{Extent, Group};
 use super::projection::Projection;
 use super::quantity::{Quantity, Subject};
 
@@ -33,8 +33,8 @@
     pub extent: Extent,
     /// The machine that it ran on.
     pub machine: Machine,
-    /// Sizes that every axis starts from.
-    pub base: Conditions,
+    /// Groups of roles, with the sizes that they were measured at.
+    pub groups: Vec<Group>,
     /// All points, also those that were not completed.
     pub runs: Vec<Run>,
     /// One quantity along one axis each.
@@ -175,7 +175,7 @@
         for projection in &self.projections {
             let key = format!("{}/all/{}", projection.subject, projection.quantity);
             let checked = projection.check.map_or(0.0, |check| check.predicted + check.error);
-            finite(key, &[projection.base, checked, projection.at_target.predicted])?;
+            finite(key, &[projection.base.unwrap_or(0.0), checked, projection.at_target.predicted])?;
         }
         Ok(())
     }
--- a/crates/scale/src/slopes/projection.rs
+++ b/crates/scale/src/slopes/projection.rs
@@ -1,7 +1,7 @@
 //! What a quantity will be when every size is raised at once.
 //!
 //! A slope holds all sizes but one at the base, so slopes alone say nothing of the fleet that is coming. Two ways to
-//! combine them are compared on the smaller of two corners, where all sizes are raised; the better one predicts the
+//! combine them are compared on the smaller of two corners, where several sizes are raised; the better one predicts the
 //! larger corner, and that is held against its measurement.
 
 use serde::{Deserialize, Serialize};
@@ -9,10 +9,9 @@
 use super::assess::{Prediction, Slope};
 use super::axis::{Axis, Conditions};
 use super::execute::Run;
-use super::plan::Plan;
+use super::plan::{Group, Plan};
 use super::quantity::{AtTarget, Quantity, Subject};
 use crate::fit::{Fit, relative_error};
-use crate::measurement::Measurement;
 
 /// How the growth along several axes adds up.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -50,6 +49,13 @@
     pub error: f64,
 }
 
+impl CornerCheck {
+    /// Holds a prediction against a measurement.
+    fn new(conditions: Conditions, predicted: f64, measured: f64) -> Self {
+        Self { conditions, predicted, measured, error: relative_error(predicted, measured) }
+    }
+}
+
 /// One quantity of one subject with every size at the coming one.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Projection {
@@ -57,8 +63,8 @@
     pub subject: Subject,
     /// Which cost.
     pub quantity: Quantity,
-    /// Measured at the base.
-    pub base: f64,
+    /// Measured at the base; nothing for a sum over groups, whose bases differ.
+    pub base: Option<f64>,
     /// How the axes combine, by the smaller corner.
     pub combination: Combination,
     /// Whether that predicted the larger corner.
@@ -69,82 +75,69 @@
     pub at_target: AtTarget,
 }
 
-/// Combines the slopes of each quantity that was measured at the base and at the smaller corner.
+/// Combines the slopes of each quantity that was measured at the base and at the smaller corner of its group, and adds
+/// the roles of a relay up.
 ///
 /// An axis along which the quantity could not be fitted counts as one that it does not grow along; its slope says so.
 pub fn project(plan: &Plan, runs: &[Run], slopes: &[Slope]) -> Vec<Projection> {
-    let input = Input { plan, runs, slopes };
     let mut projections = Vec::new();
-    for subject in Subject::ALL {
-        for &quantity in subject.quantities() {
-            let projection = match subject {
-                Subject::Relay => input.sum_of_roles(quantity, &projections),
-                _ => input.combine(subject, quantity),
-            };
-            projections.extend(projection);
+    for group in &plan.groups {
+        let input = Input { group, runs, slopes };
+        for &subject in &group.subjects {
+            let quantities = subject.quantities().iter();
+            projections.extend(quantities.filter_map(|&quantity| input.combine(subject, quantity)));
         }
     }
+    let quantities = Subject::Relay.quantities().iter();
+    let of_relay: Vec<_> = quantities.filter_map(|&quantity| sum_of_roles(quantity, &projections)).collect();
+    projections.extend(of_relay);
     projections
 }
 
+/// The projections of the roles of a relay, added up; they hold together only if each does.
+///
+/// The groups have other bases, so the sum is checked at no corner, and stated at the coming size alone.
+fn sum_of_roles(quantity: Quantity, projections: &[Projection]) -> Option<Projection> {
+    let is_role = |found: &&Projection| found.quantity == quantity && found.subject.is_role_of_relays();
+    let roles: Vec<&Projection> = projections.iter().filter(is_role).collect();
+    let subject = Subject::Relay;
+    let sum = roles.iter().map(|role| role.at_target.predicted).sum();
+    let prediction = roles.iter().map(|role| role.prediction).max()?;
+    let at_target = AtTarget::new(subject, quantity, Conditions::TARGET, sum);
+    let combination = Combination::SumOfRoles;
+    Some(Projection { subject, quantity, base: None, combination, prediction, check: None, at_target })
+}
+
 struct Input<'a> {
-    plan: &'a Plan,
+    group: &'a Group,
     runs: &'a [Run],
     slopes: &'a [Slope],
 }
 
 impl Input<'_> {
     fn combine(&self, subject: Subject, quantity: Quantity) -> Option<Projection> {
-        let base = self.measured(&self.plan.base, subject, quantity)?;
-        let [smaller, larger] = &self.plan.corners;
-        let at_smaller = self.measured(smaller, subject, quantity)?;
-        let growth = Growth { base, from: &self.plan.base, fits: self.fits(subject, quantity) };
-        let sum = relative_error(growth.sum(smaller), at_smaller);
-        let product = relative_error(growth.product(smaller), at_smaller);
+        let measured = |conditions: &Conditions| self.measured(conditions, subject, quantity);
+        let base = measured(&self.group.base)?;
+        let [smaller, larger] = self.group.corners;
+        let at_smaller = measured(&smaller)?;
+        let growth = Growth { base, from: &self.group.base, fits: self.fits(subject, quantity) };
+        let sum = relative_error(growth.sum(&smaller), at_smaller);
+        let product = relative_error(growth.product(&smaller), at_smaller);
         let combination = if product < sum { Combination::Product } else { Combination::Sum };
         let predict = |to: &Conditions| match combination {
             Combination::Product => growth.product(to),
             _ => growth.sum(to),
         };
-        let (at_larger, at_target) = (predict(larger), predict(&Conditions::TARGET));
-        Some(self.checked(subject, quantity, combination, [base, at_larger, at_target]))
-    }
-
-    /// The projections of the roles of a relay, each weighted with the part of the relays that have the role.
-    fn sum_of_roles(&self, quantity: Quantity, roles: &[Projection]) -> Option<Projection> {
-        let base = self.measurement(&self.plan.base)?;
-        let mut sums = [0.0; 3];
-        for role in roles.iter().filter(|role| role.quantity == quantity) {
-            let part = role.subject.part_of_relays(base).unwrap_or(0.0);
-            let at_larger = role.check.as_ref().map_or(0.0, |check| check.predicted);
-            for (sum, value) in sums.iter_mut().zip([role.base, at_larger, role.at_target.predicted]) {
-                *sum += part * value;
-            }
-        }
-        Some(self.checked(Subject::Relay, quantity, Combination::SumOfRoles, sums))
-    }
-
-    /// Holds the prediction for the larger corner against what was measured there.
-    fn checked(
-        &self, subject: Subject, quantity: Quantity, combination: Combination,
-        [base, predicted, at_target]: [f64; 3],
-    ) -> Projection {
-        let conditions = self.plan.corners[1];
-        let check = self.measured(&conditions, subject, quantity).map(|measured| {
-            let error = relative_error(predicted, measured);
-            CornerCheck { conditions, predicted, measured, error }
-        });
+        let check = measured(&larger).map(|measured| CornerCheck::new(larger, predict(&larger), measured));
         let prediction = check.map_or(Prediction::NotMade, |check| Prediction::of_error(check.error));
-        let at_target = AtTarget::new(subject, quantity, Conditions::TARGET, at_target);
-        Projection { subject, quantity, base, combination, prediction, check, at_target }
-    }
-
-    fn measurement(&self, conditions: &Conditions) -> Option<&Measurement> {
-        self.runs.iter().find(|run| run.conditions == *conditions)?.measurement.as_ref()
+        let target = Conditions::TARGET;
+        let at_target = AtTarget::new(subject, quantity, target, predict(&target));
+        Some(Projection { subject, quantity, base: Some(base), combination, prediction, check, at_target })
     }
 
     fn measured(&self, conditions: &Conditions, subject: Subject, quantity: Quantity) -> Option<f64> {
-        quantity.of(subject, self.measurement(conditions)?)
+        let of_group = |run: &&Run| run.group == self.group.name && run.conditions == *conditions;
+        quantity.of(subject, self.runs.iter().find(of_group)?.measurement.as_ref()?)
     }
 
     fn fits(&self, subject: Subject, quantity: Quantity) -> Vec<(Axis, Fit)> {
--- a/crates/scale/src/slopes/quantity.rs
+++ b/crates/scale/src/slopes/quantity.rs
@@ -33,7 +33,7 @@
     Configuration,
     /// The role [`Role::ControlMachine`].
     ControlMachine,
-    /// All roles of a relay together, in the mean over relays.
+    /// All roles of a relay together, which is projected only.
     Relay,
     /// The fleet as a whole, which delays are measured of.
     Fleet,
@@ -76,11 +76,9 @@
         }
     }
 
-    /// Part of the relays that have the role of this subject; nothing if it is no role of relays.
-    pub fn part_of_relays(self, measurement: &Measurement) -> Option<f64> {
-        let role = self.role().filter(|role| *role != Role::ControlMachine)?;
-        let cost = measurement.roles.iter().find(|cost| cost.role == role)?;
-        Some(f64::from(cost.machines) / f64::from(measurement.relays))
+    /// Whether this is a role that relays have.
+    pub fn is_role_of_relays(self) -> bool {
+        self.role().is_some_and(|role| role != Role::ControlMachine)
     }
 
     fn role(self) -> Option<Role> {
@@ -165,10 +163,10 @@
         match self {
             Self::DetectionP99Ms => delay(measurement.detection.count, measurement.detection.p99_us),
             Self::InForceMaxMs => delay(measurement.in_force.count, measurement.in_force.max_us),
-            _ => match subject.role() {
-                Some(role) => self.of_role(measurement.roles.iter().find(|cost| cost.role == role)?),
-                None => self.of_relay(measurement),
-            },
+            _ => {
+                let role = subject.role()?;
+                self.of_role(measurement.roles.iter().find(|cost| cost.role == role)?)
+            }
         }
     }
 
@@ -182,13 +180,6 @@
             Self::DetectionP99Ms | Self::InForceMaxMs => None,
         }
     }
-
-    /// The sum over the roles of relays, each weighted with the part of the relays that have it.
-    fn of_relay(self, measurement: &Measurement) -> Option<f64> {
-        let relays = f64::from(measurement.relays);
-        let on_relays = measurement.roles.iter().filter(|cost| cost.role != Role::ControlMachine);
-        on_relays.map(|cost| Some(self.of_role(cost)? * f64::from(cost.machines) / relays)).sum()
-    }
 }
 
 impl fmt::Display for Quantity {
--- a/crates/scale/src/slopes/table.rs
+++ b/crates/scale/src/slopes/table.rs
@@ -12,6 +12,9 @@
 /// Significant digits of a printed figure.
 const DIGITS: i32 = 3;
 
+/// Parts below this percentage are printed as none.
+const LEAST_PERCENT: f64 = 1e-4;
+
 const SLOPE_HEADER: [&str; 12] = [
     "role",
     "axis",
@@ -45,7 +48,7 @@
 pub fn file_tables(file: &SlopesFile) -> String {
     let mut text = format!(
         "Slopes: predicted from the smaller half of the sizes, measured at the largest; at the target with all other \
-         sizes at the base\n{}\n\nAll sizes at once: predicted and measured at the larger corner\n{}\n",
+         sizes at the base\n{}\n\nAll sizes at once: predicted and measured at the larger corner of the group\n{}\n",
         slope_table(&file.slopes),
         projection_table(&file.projections)
     );
@@ -90,7 +93,7 @@
         let mut row = vec![
             projection.subject.name().to_owned(),
             projection.quantity.name().to_owned(),
-            figure(projection.base),
+            projection.base.map(figure).unwrap_or_default(),
             projection.combination.name().to_owned(),
         ];
         let check = projection.check.map(|check| (check.predicted, check.measured, check.error));
@@ -114,7 +117,8 @@
 
 /// A part of a whole in percent.
 pub fn percent(part: f64) -> String {
-    format!("{}%", figure(part * 100.0))
+    let percent = part * 100.0;
+    if percent.abs() < LEAST_PERCENT { "0%".to_owned() } else { format!("{}%", figure(percent)) }
 }
 
 fn with_commas(digits: &str) -> String {
@@ -158,8 +162,9 @@
     let reason = run.reason.as_deref().unwrap_or("no reason given");
     let size = &run.conditions;
     format!(
-        "{state}: {} relays, {} destinations, {}% down, {} events a second and relay, {} changes a day: {reason}; {} \
+        "{state}: {}: {} relays, {} destinations, {}% down, {} events a second and relay, {} changes a day: {reason}; {} \
          reached in {:.1} s\n",
+        run.group,
         size.relays,
         size.destinations,
         figure(size.share_down * 100.0),
