Let a form that grows pass an F-test against the constant

With four points the leave-one-out penalty kept the constant for a cost that grew 3.7 times over a sixfold size, as growth that bends leaves large errors at the ends. The F-test of nested models is the usual measure: noise alone passes once in 40 times. The tests of noise and of each form hold as they were.

--- a/crates/scale/src/fit.rs
+++ b/crates/scale/src/fit.rs
@@ -1,14 +1,15 @@
 //! Least squares of one quantity against one size, and the choice of the form that it grows with.
 //!
-//! Every form is a constant plus a coefficient times a basis function of the size. Forms are compared by their
-//! leave-one-out error, which is had without refitting from the leverage of each point (Allen's PRESS statistic).
+//! Every form is a constant plus a coefficient times a basis function of the size. A form that grows must pass an F-test
+//! against the constant; those that do are compared by their leave-one-out error, which is had without refitting from
+//! the leverage of each point (Allen's PRESS statistic).
 
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-/// What one more parameter costs: it is taken only where it lessens the leave-one-out error by a factor of more than
-/// one plus this over the degrees of freedom that it leaves. The fewer they are, the more often noise looks like growth.
-const PENALTY_OF_A_PARAMETER: f64 = 4.0;
+/// Critical values of the F distribution at 2.5% for one more parameter and 1, 2, ... degrees of freedom left: noise
+/// alone passes for growth once in 40 times. The last holds for more degrees of freedom too.
+const CRITICAL_F: [f64; 8] = [647.8, 38.51, 17.44, 12.22, 10.01, 8.81, 8.07, 7.57];
 
 /// Errors below this part of the mean value are rounding of the arithmetic, not differences between forms.
 const ROUNDING: f64 = 1e-9;
@@ -126,22 +127,29 @@
     Ok(least_squares(form, points))
 }
 
-/// Fits every form, and returns the one that predicts points left out best; the constant if none is clearly better.
+/// Fits every form, and returns the one with the least leave-one-out error among those that grow; the constant if
+/// none of them explains more than noise would (F-test of nested models).
 ///
 /// # Errors
 /// Fails on fewer sizes than the forms with two parameters need, and on sizes or values that are out of range.
 pub fn choose_form(points: &[Point]) -> Result<Fit, FitError> {
-    let fits = Form::ALL.iter().map(|&form| fit_form(form, points)).collect::<Result<Vec<_>, _>>()?;
+    let [constant, growing @ ..] = Form::ALL;
+    let constant = fit_form(constant, points)?;
+    let fits = growing.iter().map(|&form| fit_form(form, points)).collect::<Result<Vec<_>, _>>()?;
     let rounding = ROUNDING * mean(points.iter().map(|point| point.value.abs()));
-    let mut best = fits[0];
-    for fit in &fits[1..] {
-        let penalty =
-            if best.form.parameters() < fit.form.parameters() { PENALTY_OF_A_PARAMETER } else { 1.0 };
-        if fit.leave_one_out * penalty + rounding < best.leave_one_out {
-            best = *fit;
-        }
-    }
-    Ok(best)
+    let significant = fits.into_iter().filter(|fit| explains_more(fit, &constant, points.len(), rounding));
+    let better =
+        |best: Fit, fit: Fit| if fit.leave_one_out + rounding < best.leave_one_out { fit } else { best };
+    Ok(significant.reduce(better).unwrap_or(constant))
+}
+
+/// Whether a form with two parameters lessens the squared residual of the constant by more than noise would.
+fn explains_more(fit: &Fit, constant: &Fit, points: usize, rounding: f64) -> bool {
+    let freedom = points - fit.form.parameters();
+    let critical = CRITICAL_F[freedom.min(CRITICAL_F.len()) - 1];
+    let left = fit.residual.max(rounding).powi(2);
+    let explained = constant.residual.powi(2) - left;
+    explained * freedom as f64 > critical * left
 }
 
 /// Distance of a prediction from the measured value, as a part of the measured value.
