Distribute changes to many relays in simulated time, and measure how that goes

What the distribution costs at 1,000 relays, and how long changes take through loss, failures and cuts, was only known from small fleets.

`scale rollout` runs raft on the control machines and the relays' very code on the simulated network.

--- a/crates/scale/src/command/mod.rs
+++ b/crates/scale/src/command/mod.rs
@@ -1,3 +1,4 @@
 //! The commands of the binary.
 
+pub mod rollout;
 pub mod run;
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod progress;
 pub mod queue;
 pub mod random;
+pub mod rollout_run;
 pub mod run;
 pub mod scenario;
 pub mod time;
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -25,11 +25,14 @@
 enum Command {
     /// Runs one scenario, and prints what it measured. Ends with status 3 where its real-time bound ended it.
     Run(command::run::RunArgs),
+    /// Distributes configuration changes to many relays, and prints what that measured.
+    Rollout(command::rollout::RolloutArgs),
 }
 
 fn main() -> ExitCode {
     let outcome = match Cli::parse().command {
         Command::Run(args) => command::run::run(&args),
+        Command::Rollout(args) => command::rollout::run(&args),
     };
     outcome.unwrap_or_else(|error| {
         eprintln!("scale: {error:#}");
