--- a/crates/rollout/src/snapshot_fetch.rs
+++ b/crates/rollout/src/snapshot_fetch.rs
@@ -1,8 +1,8 @@
 //! Fetches a snapshot: first its manifest, then only the buckets that differ, different ones from several sources.
 //!
-//! How long that takes: 56,000 destinations are about 7 MB of canonical bytes, and a source serves 4 KB/s. A relay with
-//! an empty set that has [`MOST_SOURCES`] sources to itself needs about five minutes; from a single source it would be
-//! half an hour. A relay that was away for a day differs in the buckets of the day's changes alone.
+//! How long that takes: 56,000 destinations with two endpoints each are 4.6 MB of canonical bytes, and a source serves 4 KB/s.
+//! A relay with an empty set that has [`MOST_SOURCES`] sources to itself needs a little over four minutes; from a single
+//! source it would be nearly twenty. A relay that was away for a day differs in the buckets of the day's changes alone.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -75,6 +75,8 @@
     stage: Stage,
     requests: BTreeMap<Peer, Request>,
     avoided: BTreeMap<Peer, Micros>,
+    /// Buckets of which a source has another state.
+    not_held: BTreeSet<(Peer, Part)>,
     number: u16,
     progressed: Micros,
 }
@@ -87,6 +89,7 @@
             stage: Stage::Manifest,
             requests: BTreeMap::new(),
             avoided: BTreeMap::new(),
+            not_held: BTreeSet::new(),
             number: 0,
             progressed: now,
         }
@@ -114,7 +117,7 @@
             if self.requests.len() >= MOST_SOURCES || avoided || self.requests.contains_key(source) {
                 continue;
             }
-            let Some(part) = self.next_part() else { return };
+            let Some(part) = self.next_part(*source) else { continue };
             self.number = self.number.wrapping_add(1);
             let request = Request { number: self.number, part, assembly: None, at: now, timeouts: 0 };
             out.push((*source, self.message(&request)));
@@ -156,9 +159,14 @@
     }
 
     /// A source does not serve what it was asked for.
-    pub fn unavailable(&mut self, now: Micros, from: Peer, number: u16, _why: Unavailable) {
-        if self.requests.get(&from).is_some_and(|request| request.number == number) {
-            self.requests.remove(&from);
+    pub fn unavailable(&mut self, now: Micros, from: Peer, number: u16, why: Unavailable) {
+        if self.requests.get(&from).is_none_or(|request| request.number != number) {
+            return;
+        }
+        let Some(Request { part, .. }) = self.requests.remove(&from) else { return };
+        if why == Unavailable::NotHeld && part != Part::Manifest {
+            self.not_held.insert((from, part));
+        } else {
             self.avoided.insert(from, now + SOURCE_AVOIDED);
         }
     }
@@ -195,15 +203,16 @@
         Ok(())
     }
 
-    /// The next part that no source was asked for.
-    fn next_part(&self) -> Option<Part> {
+    /// The next part for a source: one that no other was asked for, and that it may have.
+    fn next_part(&self, source: Peer) -> Option<Part> {
         let asked: BTreeSet<Part> = self.requests.values().map(|request| request.part).collect();
+        let free = |part: &Part| !asked.contains(part) && !self.not_held.contains(&(source, *part));
         match &self.stage {
-            Stage::Manifest => Some(Part::Manifest).filter(|part| !asked.contains(part)),
+            Stage::Manifest => Some(Part::Manifest).filter(free),
             Stage::Buckets { install, digests, .. } => install
                 .missing()
                 .filter_map(|index| Some(Part::Bucket { index, digest: *digests.get(&index)? }))
-                .find(|part| !asked.contains(part)),
+                .find(free),
         }
     }
 
--- a/crates/rollout/src/snapshot_serve.rs
+++ b/crates/rollout/src/snapshot_serve.rs
@@ -142,17 +142,27 @@
         &mut self, now: Micros, set: &DestinationSet, newest: Option<&SignedChange>, version: Version,
         part: Part,
     ) -> Result<Vec<u8>, Unavailable> {
-        if !self.pinned.iter().any(|pinned| pinned.manifest.version == version) && set.version() == version {
+        if let Some(bytes) = self.pinned_part(now, set, version, part) {
+            return Ok(bytes);
+        }
+        // A bucket is mostly the same in the version that is in force here.
+        let is_pinned = self.pinned.iter().any(|pinned| pinned.manifest.version == set.version());
+        if !is_pinned && (set.version() == version || part != Part::Manifest) {
             self.pin(now, set, newest);
         }
-        let same = |pinned: &Pinned| pinned.manifest.version == version;
-        let part_of = |pinned: &mut Pinned| {
-            // The manifest has to be of that version; a bucket may be of any in which it is the same.
-            let bytes = (same(pinned) || part != Part::Manifest).then(|| pinned.part(set, part))??;
+        self.pinned_part(now, set, version, part).ok_or(Unavailable::NotHeld)
+    }
+
+    /// A part of a pinned version: the manifest of that very one, or a bucket of any in which it is the same.
+    fn pinned_part(
+        &mut self, now: Micros, set: &DestinationSet, version: Version, part: Part,
+    ) -> Option<Vec<u8>> {
+        let usable = |pinned: &&mut Pinned| part != Part::Manifest || pinned.manifest.version == version;
+        self.pinned.iter_mut().filter(usable).find_map(|pinned| {
+            let bytes = pinned.part(set, part)?;
             pinned.used = now;
             Some(bytes)
-        };
-        self.pinned.iter_mut().find_map(part_of).ok_or(Unavailable::NotHeld)
+        })
     }
 
     fn pin(&mut self, now: Micros, set: &DestinationSet, newest: Option<&SignedChange>) {
--- a/crates/rollout/tests/snapshot.rs
+++ b/crates/rollout/tests/snapshot.rs
@@ -95,6 +95,28 @@
     assert!(world.until(&zone, version, 300 * SECOND).is_some(), "the zone is not served");
 }
 
+#[test]
+fn all_sources_serve_although_a_change_came_while_the_manifest_was_sent() {
+    let mut world = moved_on(27, 14);
+    let fresh = world.zone(0)[4];
+    world.stop(fresh);
+    world.run(5 * SECOND);
+    world.start(fresh);
+    while world.node(fresh).status(world.now).snapshot.is_none() {
+        world.run(SECOND / 10);
+    }
+    world.run(2 * SECOND);
+    assert_eq!(
+        world.node(fresh).status(world.now).snapshot.and_then(|progress| progress.missing_buckets),
+        None
+    );
+    let version = world.change(vec![put(3, 99)]);
+    world.until(&[fresh], version, 60 * SECOND).expect("it takes a snapshot");
+    let others = world.all().into_iter().filter(|peer| *peer != fresh);
+    let served = others.filter(|peer| world.node(*peer).counts().snapshot_bytes > 0).count();
+    assert!(served >= 4, "{served} machines served buckets, the one with the manifest among them");
+}
+
 /// A control machine that was taken over: what it publishes and serves is signed by another key, and newer.
 fn take_over(world: &mut World, control: rollout::Peer) {
     let key = SigningKey::from_bytes(&[8; 32]);
--- a/crates/scale/src/rollout_run/check.rs
+++ b/crates/scale/src/rollout_run/check.rs
@@ -84,6 +84,9 @@
     /// Whether the set of a machine that held `before` is a published one, and not an older one.
     pub(super) fn look(&mut self, before: Version, set: &DestinationSet) {
         let version = set.version();
+        if version == Version::default() {
+            return; // It holds nothing yet.
+        }
         self.went_back += u64::from(version < before);
         let published = self.published.get(&version).map(|proposed| proposed.digest);
         let digest = published.or((version == self.base.0).then_some(self.base.1));
--- a/crates/scale/src/rollout_run/scenario.rs
+++ b/crates/scale/src/rollout_run/scenario.rs
@@ -18,6 +18,9 @@
     pub restarts: u32,
     /// Relays that fail, and come back with the set that they had on their disk.
     pub relay_failures: u32,
+    /// Relays that are replaced by one with an empty disk, which is away as long as one that restarts.
+    #[serde(default)]
+    pub replacements: u32,
     /// Control machines that fail, one after the other, and come back with their log.
     pub control_failures: u32,
     /// Seconds for which a machine that restarts is away.
@@ -28,7 +31,14 @@
 
 impl Default for Failures {
     fn default() -> Self {
-        Failures { restarts: 0, relay_failures: 0, control_failures: 0, restart_s: 5.0, repair_s: 600.0 }
+        Failures {
+            restarts: 0,
+            relay_failures: 0,
+            replacements: 0,
+            control_failures: 0,
+            restart_s: 5.0,
+            repair_s: 600.0,
+        }
     }
 }
 
--- a/crates/scale/src/rollout_run/simulation.rs
+++ b/crates/scale/src/rollout_run/simulation.rs
@@ -58,6 +58,8 @@
     Restart,
     /// A relay fails, drawn from all.
     RelayFailure,
+    /// A relay is replaced by one with an empty disk, drawn from all.
+    Replacement,
     /// A control machine fails.
     ControlFailure(Peer),
     /// The cut of that number ends.
@@ -192,6 +194,10 @@
             let at = self.measured_from + self.failures.random_range(0..span);
             self.queue.push(at, Event::RelayFailure);
         }
+        for _ in 0..failures.replacements {
+            let at = self.measured_from + self.failures.random_range(0..span);
+            self.queue.push(at, Event::Replacement);
+        }
         for number in 0..failures.control_failures {
             let at = self.measured_from
                 + span * Micros::from(2 * number + 1) / Micros::from(2 * failures.control_failures);
@@ -261,6 +267,15 @@
                 let away = seconds(self.scenario.failures.repair_s);
                 self.stop_any_relay(now, away);
             }
+            Event::Replacement => {
+                self.restarts += 1;
+                let away = seconds(self.scenario.failures.restart_s);
+                if let Some(relay) = self.stop_any_relay(now, away) {
+                    let machine = &mut self.machines[usize::from(relay)];
+                    (machine.disk.set, machine.disk.newest) = (None, None);
+                    machine.version = Version::default();
+                }
+            }
             Event::ControlFailure(peer) => {
                 self.failed += 1;
                 let away = seconds(self.scenario.failures.repair_s);
@@ -292,14 +307,15 @@
         self.queue.push(now + away.max(SECOND), Event::Start(peer));
     }
 
-    fn stop_any_relay(&mut self, now: Micros, away: Micros) {
+    /// Stops a relay that is drawn from all that run.
+    fn stop_any_relay(&mut self, now: Micros, away: Micros) -> Option<Peer> {
         let relays = self.scenario.relays as usize;
         let living: Vec<usize> =
             (0..relays).filter(|relay| self.machines[*relay].process.is_some()).collect();
         let place = self.failures.random_range(0..living.len().max(1));
-        if let Some(relay) = living.get(place) {
-            self.stop(now, *relay as Peer, away);
-        }
+        let relay = living.get(place).and_then(|relay| Peer::try_from(*relay).ok())?;
+        self.stop(now, relay, away);
+        Some(relay)
     }
 
     // ---- messages ----
@@ -457,6 +473,9 @@
         if after == before && machine.catching_up.is_none() {
             return;
         }
+        if before == Version::default() && after > before {
+            process.since = now; // A relay that holds nothing takes no part.
+        }
         process.node.take_applied();
         self.most_subscribers = self.most_subscribers.max(process.node.status(now).subscribers.len());
         machine.version = after;
@@ -466,7 +485,7 @@
         let connected = |at| since <= at && !cuts.iter().any(|cut| cuts_off(cut, network, peer, (at, now)));
         if machine.catching_up.is_some_and(|(target, _)| after >= target) {
             let began = machine.catching_up.take().map_or(now, |(_, began)| began);
-            if relay && connected(began) {
+            if relay && (before == Version::default() || connected(began)) {
                 self.caught_up.record(now - began);
             }
         }
