--- a/crates/scale/src/command/mod.rs
+++ b/crates/scale/src/command/mod.rs
@@ -3,5 +3,6 @@
 pub mod page;
 pub mod point;
 pub mod report;
+pub mod rollout;
 pub mod run;
 pub mod slopes;
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod queue;
 pub mod random;
 pub mod report;
+pub mod rollout_run;
 pub mod run;
 pub mod scenario;
 pub mod slopes;
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -34,6 +34,8 @@
     /// Runs one point of the slopes in a process of its own: the scenario as JSON comes on standard input.
     #[command(hide = true)]
     Point(command::point::PointArgs),
+    /// Distributes configuration changes to many relays, and prints what that measured.
+    Rollout(command::rollout::RolloutArgs),
 }
 
 fn main() -> ExitCode {
@@ -43,6 +45,7 @@
         Command::Page(args) => command::page::page(&args),
         Command::Report(args) => command::report::report(&args),
         Command::Point(args) => command::point::point(&args),
+        Command::Rollout(args) => command::rollout::run(&args),
     };
     outcome.unwrap_or_else(|error| {
         eprintln!("scale: {error:#}");
