--- a/crates/consensus/src/check.rs
+++ b/crates/consensus/src/check.rs
@@ -1,12 +1,12 @@
 //! Which messages of other nodes are taken. raft-rs trusts its transport and panics on some messages that no sound
 //! node sends; those are turned away here, before they reach it.
 
-use protobuf::Message as _;
 use raft::RawNode;
 use raft::eraftpb::{EntryType, Message, MessageType};
 use thiserror::Error;
 
 use crate::config::NodeId;
+use crate::envelope;
 use crate::storage::Storage;
 use crate::{MAX_MESSAGE_BYTES, MAX_SNAPSHOT_BYTES};
 
@@ -56,7 +56,7 @@
     if bytes.len() > MAX_MESSAGE_BYTES {
         return Err(ReceiveError::TooLong);
     }
-    let message = Message::parse_from_bytes(bytes).map_err(|_| ReceiveError::Malformed)?;
+    let message = envelope::decode(bytes).ok_or(ReceiveError::Malformed)?;
     if message.from != from.0 {
         return Err(ReceiveError::ForgedSender);
     }
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -9,12 +9,13 @@
 //!                                             1. write and fsync   2. send   3. apply
 //! ```
 //!
-//! Modules depend one way: `config`, `record` ← `persisted` ← `storage` ← `check`, `contact`, `snapshots` ← `node`.
+//! Modules depend one way: `config`, `record` ← `persisted` ← `storage` ← `check`, `contact`, `envelope`, `snapshots` ← `node`.
 #![forbid(unsafe_code)]
 
 mod check;
 mod config;
 mod contact;
+mod envelope;
 mod node;
 mod persisted;
 mod record;
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 
-use protobuf::Message as _;
 use raft::eraftpb::{self, MessageType};
 use raft::{RawNode, StateRole};
 use thiserror::Error;
@@ -10,6 +9,7 @@
 use crate::check::{self, ReceiveError};
 use crate::config::{Config, ConfigError, NodeId};
 use crate::contact::Contact;
+use crate::envelope;
 use crate::persisted::{Persisted, RecordError};
 use crate::record::{Entry, Record, Snapshot};
 use crate::snapshots::Snapshots;
@@ -370,8 +370,7 @@
             self.snapshots.sent(now_us, message.to);
             self.counts.snapshots_sent += 1;
         }
-        // Encoding fails only for a message without a required field, and there are none.
-        message.write_to_bytes().ok().map(|bytes| (NodeId(message.to), bytes))
+        envelope::encode(message).map(|bytes| (NodeId(message.to), bytes))
     }
 
     fn drop_log(&mut self, through: u64) {
