Plan eight sizes on each axis, and a warm-up that limits settle in

Observations depend on the events of each relay other than by any of the forms, so the full plan starts nearer to the coming rate.

--- a/crates/scale/src/slopes/plan.rs
+++ b/crates/scale/src/slopes/plan.rs
@@ -8,6 +8,11 @@
 use super::quantity::Subject;
 use crate::measurement::Role;
 
+/// Long enough that the permits of a limit reach their usual rate.
+const WARM_UP_S: u32 = 15;
+/// Long enough that all who live know those that are killed at its start as dead.
+const SIMULATED_S: u32 = 20;
+
 /// How far a plan goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -69,14 +74,14 @@
 }
 
 impl Plan {
-    /// Up to 300 relays, in under 3 minutes.
+    /// Small fleets, in under 3 minutes.
     pub fn quick() -> Self {
         Self {
             extent: Extent::Quick,
             groups: vec![members_quick(), limits_quick()],
-            warm_up_s: 15,
-            simulated_s: 15,
-            bound: Duration::from_secs(25),
+            warm_up_s: WARM_UP_S,
+            simulated_s: SIMULATED_S,
+            bound: Duration::from_secs(30),
             bound_of_all: Duration::from_secs(150),
         }
     }
@@ -86,9 +91,9 @@
         Self {
             extent: Extent::Full,
             groups: vec![members_full(), limits_full()],
-            warm_up_s: 30,
-            simulated_s: 30,
-            bound: Duration::from_secs(180),
+            warm_up_s: WARM_UP_S,
+            simulated_s: SIMULATED_S,
+            bound: Duration::from_secs(200),
             bound_of_all: Duration::from_secs(600),
         }
     }
@@ -107,40 +112,43 @@
 
 /// Members ask all others below 65 relays, and a bounded number of them above; a form fitted across that knee predicts
 /// nothing, so fleets begin above it.
-fn members(relays: &[f64], destinations: &[f64], events: &[f64], corners: [Conditions; 2]) -> Group {
+fn members(
+    base: Conditions, relays: &[f64], destinations: &[f64], events: &[f64], corners: [Conditions; 2],
+) -> Group {
     Group {
         name: "members".into(),
         roles: vec![Role::Member, Role::HealthObservations],
         subjects: vec![Subject::Member, Subject::HealthObservations, Subject::Fleet],
-        base: MEMBERS_BASE,
+        base,
         sizes: sizes(relays, destinations, events),
         corners,
     }
 }
 
-const MEMBERS_BASE: Conditions =
-    Conditions { relays: 100, destinations: 1_000, events_per_relay: 50.0, ..Conditions::TARGET };
-
 fn members_quick() -> Group {
+    let base = Conditions { relays: 80, destinations: 1_000, events_per_relay: 130.0, ..Conditions::TARGET };
     members(
-        &[80.0, 100.0, 120.0, 150.0, 180.0, 220.0, 260.0, 300.0],
-        &[250.0, 500.0, 1_000.0, 1_500.0, 2_000.0, 3_000.0, 4_000.0, 6_000.0],
-        &[12.5, 25.0, 50.0, 75.0, 100.0, 150.0, 200.0, 300.0],
+        base,
+        &[80.0, 90.0, 100.0, 115.0, 130.0, 150.0, 175.0, 200.0],
+        &[350.0, 500.0, 700.0, 1_000.0, 1_400.0, 2_000.0, 2_800.0, 4_000.0],
+        &[65.0, 80.0, 100.0, 130.0, 170.0, 220.0, 300.0, 400.0],
         [
-            Conditions { relays: 130, destinations: 1_500, events_per_relay: 75.0, ..MEMBERS_BASE },
-            Conditions { relays: 200, destinations: 3_000, events_per_relay: 100.0, ..MEMBERS_BASE },
+            Conditions { relays: 100, destinations: 1_500, events_per_relay: 150.0, ..base },
+            Conditions { relays: 150, destinations: 3_000, events_per_relay: 200.0, ..base },
         ],
     )
 }
 
 fn members_full() -> Group {
+    let base = Conditions { relays: 100, destinations: 1_000, events_per_relay: 260.0, ..Conditions::TARGET };
     members(
+        base,
         &[80.0, 100.0, 150.0, 220.0, 320.0, 470.0, 690.0, 1_000.0],
         &[250.0, 500.0, 1_000.0, 2_000.0, 4_000.0, 8_000.0, 20_000.0, 56_000.0],
-        &[12.5, 25.0, 50.0, 100.0, 150.0, 200.0, 300.0, 520.0],
+        &[32.5, 65.0, 100.0, 130.0, 200.0, 260.0, 390.0, 520.0],
         [
-            Conditions { relays: 150, destinations: 2_000, events_per_relay: 100.0, ..MEMBERS_BASE },
-            Conditions { relays: 300, destinations: 8_000, events_per_relay: 200.0, ..MEMBERS_BASE },
+            Conditions { relays: 150, destinations: 2_000, events_per_relay: 320.0, ..base },
+            Conditions { relays: 250, destinations: 5_000, events_per_relay: 400.0, ..base },
         ],
     )
 }
@@ -162,9 +170,9 @@
 
 fn limits_quick() -> Group {
     limits(
-        &[20.0, 30.0, 40.0, 60.0, 90.0, 130.0, 180.0, 250.0],
-        &[25.0, 50.0, 100.0, 150.0, 200.0, 300.0, 450.0, 700.0],
-        &[2.5, 5.0, 10.0, 15.0, 20.0, 30.0, 45.0, 70.0],
+        &[20.0, 30.0, 40.0, 60.0, 80.0, 110.0, 150.0, 200.0],
+        &[25.0, 50.0, 75.0, 100.0, 150.0, 200.0, 300.0, 400.0],
+        &[3.0, 5.0, 7.0, 10.0, 15.0, 20.0, 30.0, 50.0],
         [
             Conditions { relays: 60, destinations: 150, events_per_relay: 15.0, ..LIMITS_BASE },
             Conditions { relays: 90, destinations: 250, events_per_relay: 20.0, ..LIMITS_BASE },
@@ -175,7 +183,7 @@
 fn limits_full() -> Group {
     limits(
         &[20.0, 40.0, 80.0, 130.0, 200.0, 350.0, 600.0, 1_000.0],
-        &[25.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_600.0, 3_200.0],
+        &[25.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_300.0, 2_000.0],
         &[5.0, 10.0, 20.0, 40.0, 80.0, 140.0, 250.0, 520.0],
         [
             Conditions { relays: 80, destinations: 200, events_per_relay: 20.0, ..LIMITS_BASE },
@@ -189,7 +197,7 @@
     vec![
         (Axis::Relays, relays.to_vec()),
         (Axis::Destinations, destinations.to_vec()),
-        (Axis::ShareDown, vec![1.0, 2.0, 3.0, 4.3, 6.0, 8.0, 12.0, 16.0]),
+        (Axis::ShareDown, vec![1.0, 1.5, 2.0, 3.0, 4.3, 6.0, 8.0, 12.0]),
         (Axis::Events, events.to_vec()),
     ]
 }
