Mark a form that ends below zero as wrong, and tell what is not measured

The tables also name the axes and roles that no group measures: changes of configuration and the control machines.

--- a/crates/scale/src/command/page.rs
+++ b/crates/scale/src/command/page.rs
@@ -6,7 +6,7 @@
 
 use anyhow::Context;
 use clap::Args;
-use scale::page::rewrite;
+use scale::page::{marked_tables, rewrite};
 use scale::slopes::file::SlopesFile;
 
 /// Which page, and which file.
@@ -18,11 +18,19 @@
     /// The file of slopes.
     #[arg(long, default_value = "docs/capacity/slopes.json")]
     slopes: PathBuf,
+    /// Prints tables with a mark for every figure, to begin a page with, and leaves the page alone.
+    #[arg(long)]
+    print_tables: bool,
 }
 
 /// Rewrites the page.
 pub fn page(args: &PageArgs) -> anyhow::Result<ExitCode> {
-    rewrite_file(&args.page, &SlopesFile::read(&args.slopes)?)?;
+    let file = SlopesFile::read(&args.slopes)?;
+    if args.print_tables {
+        print!("{}", marked_tables(&file));
+        return Ok(ExitCode::SUCCESS);
+    }
+    rewrite_file(&args.page, &file)?;
     Ok(ExitCode::SUCCESS)
 }
 
--- a/crates/scale/src/page.rs
+++ b/crates/scale/src/page.rs
@@ -9,14 +9,44 @@
 
 use thiserror::Error;
 
+use crate::slopes::assess::Slope;
 use crate::slopes::axis::Axis;
 use crate::slopes::file::SlopesFile;
+use crate::slopes::projection::Projection;
 use crate::slopes::quantity::{AtTarget, Quantity, Subject};
 use crate::slopes::table;
 
 const MARK_BEGINS: &str = "<!-- slope:";
 const MARK_ENDS: &str = "-->";
 
+/// Stands in a key for every size raised at once.
+const ALL_AXES: &str = "all";
+
+/// Heads of the columns of a table of slopes, and the fields that they show.
+const SLOPE_COLUMNS: [(&str, &str); 9] = [
+    ("form", "form"),
+    ("largest size", "largest"),
+    ("predicted there", "predicted"),
+    ("measured there", "measured"),
+    ("error", "error"),
+    ("prediction", "prediction"),
+    ("at the target", "target"),
+    ("budget", "budget"),
+    ("need over budget", "need"),
+];
+
+/// As [`SLOPE_COLUMNS`], for all sizes at once.
+const PROJECTION_COLUMNS: [(&str, &str); 8] = [
+    ("combined by", "form"),
+    ("predicted at the corner", "predicted"),
+    ("measured there", "measured"),
+    ("error", "error"),
+    ("prediction", "prediction"),
+    ("at the target", "target"),
+    ("budget", "budget"),
+    ("need over budget", "need"),
+];
+
 /// Stands in a page for a figure that the file does not have, for instance a budget where none is set.
 pub const NO_FIGURE: &str = "–";
 
@@ -173,13 +203,41 @@
     Ok(text)
 }
 
+/// Two tables with a mark for every figure of the file, to begin a page with: the slopes, and all sizes at once.
+pub fn marked_tables(file: &SlopesFile) -> String {
+    let of_slope = |slope: &Slope| (slope.subject, slope.axis.name(), slope.quantity);
+    let of_projection = |found: &Projection| (found.subject, ALL_AXES, found.quantity);
+    let slopes = marked_table(file, &SLOPE_COLUMNS, file.slopes.iter().map(of_slope));
+    let projections = marked_table(file, &PROJECTION_COLUMNS, file.projections.iter().map(of_projection));
+    format!("{slopes}\n{projections}")
+}
+
+fn marked_table(
+    file: &SlopesFile, columns: &[(&str, &str)],
+    rows: impl Iterator<Item = (Subject, &'static str, Quantity)>,
+) -> String {
+    let heads: Vec<&str> = columns.iter().map(|(head, _)| *head).collect();
+    let mut text = format!("| role | axis | quantity | {} |\n", heads.join(" | "));
+    text.push_str(&format!("| --- | --- | --- |{}\n", " ---: |".repeat(columns.len())));
+    for (subject, axis, quantity) in rows {
+        text.push_str(&format!("| {subject} | {axis} | {quantity} |"));
+        for (_, field) in columns {
+            let key = format!("{subject}/{axis}/{quantity}/{field}");
+            let printed = value(&key, file).unwrap_or(Value::Nothing).print();
+            text.push_str(&format!(" {printed} {MARK_BEGINS}{key} {MARK_ENDS} |"));
+        }
+        text.push('\n');
+    }
+    text
+}
+
 /// The value that a key names.
 pub fn value(key: &str, file: &SlopesFile) -> Option<Value> {
     let parts: Vec<&str> = key.split('/').collect();
     let [subject, axis, quantity, field] = parts[..] else { return None };
     let subject = Subject::ALL.into_iter().find(|known| known.name() == subject)?;
     let quantity = Quantity::ALL.into_iter().find(|known| known.name() == quantity)?;
-    if axis == "all" {
+    if axis == ALL_AXES {
         return of_projection(file, subject, quantity, field);
     }
     of_slope(file, subject, Axis::from_str(axis).ok()?, quantity, field)
@@ -192,6 +250,7 @@
     let check = slope.check.as_ref();
     Some(match field {
         "form" => check.map_or(Value::Nothing, |check| Value::Word(check.fit.form.name())),
+        "largest" => Value::of(slope.points.last().map(|point| point.size)),
         "predicted" => Value::of(check.map(|check| check.predicted)),
         "measured" => Value::of(check.map(|check| check.measured)),
         "error" => Value::of_part(check.map(|check| check.error)),
--- a/crates/scale/src/slopes/assess.rs
+++ b/crates/scale/src/slopes/assess.rs
@@ -11,6 +11,9 @@
 /// A prediction that is further off than this part of the measured value marks its form as wrong.
 pub const TOLERATED_ERROR: f64 = 0.20;
 
+/// Why a form is wrong whatever its error: no cost is less than nothing.
+const BELOW_ZERO: &str = "the fit predicts less than nothing at the coming size";
+
 /// Whether a form predicted what was measured; the worst comes last.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -19,7 +22,7 @@
     Held,
     /// There were too few points to predict from.
     NotMade,
-    /// Further off: the form is wrong.
+    /// Further off, or less than nothing at the coming size: the form is wrong.
     Failed,
 }
 
@@ -67,7 +70,7 @@
     pub points: Vec<Point>,
     /// Whether the form of the smaller half predicted the largest size.
     pub prediction: Prediction,
-    /// Why no prediction was made.
+    /// Why no prediction was made, or why it failed if not by its error.
     #[serde(skip_serializing_if = "Option::is_none", default)]
     pub reason: Option<String>,
     /// The prediction and its error.
@@ -108,8 +111,12 @@
     let target = axis.set(base, axis.size(&Conditions::TARGET));
     let at_target =
         fit.map(|fit| AtTarget::new(subject, quantity, target, fit.predict(axis.size(&Conditions::TARGET))));
-    let prediction = checked.as_ref().map_or(Prediction::NotMade, |check| Prediction::of_error(check.error));
-    let reason = checked.as_ref().err().map(FitError::to_string);
+    let below_zero = at_target.is_some_and(|target| target.predicted < 0.0);
+    let (prediction, reason) = match &checked {
+        _ if below_zero => (Prediction::Failed, Some(BELOW_ZERO.to_owned())),
+        Ok(check) => (Prediction::of_error(check.error), None),
+        Err(error) => (Prediction::NotMade, Some(error.to_string())),
+    };
     Slope { subject, axis, quantity, points, prediction, reason, check: checked.ok(), fit, at_target }
 }
 
--- a/crates/scale/src/slopes/projection.rs
+++ b/crates/scale/src/slopes/projection.rs
@@ -129,9 +129,13 @@
             _ => growth.sum(to),
         };
         let check = measured(&larger).map(|measured| CornerCheck::new(larger, predict(&larger), measured));
-        let prediction = check.map_or(Prediction::NotMade, |check| Prediction::of_error(check.error));
         let target = Conditions::TARGET;
         let at_target = AtTarget::new(subject, quantity, target, predict(&target));
+        let prediction = match check {
+            _ if at_target.predicted < 0.0 => Prediction::Failed,
+            Some(check) => Prediction::of_error(check.error),
+            None => Prediction::NotMade,
+        };
         Some(Projection { subject, quantity, base: Some(base), combination, prediction, check, at_target })
     }
 
--- a/crates/scale/src/slopes/table.rs
+++ b/crates/scale/src/slopes/table.rs
@@ -4,10 +4,11 @@
 use comfy_table::{CellAlignment, Table};
 
 use super::assess::{Prediction, Slope};
+use super::axis::Axis;
 use super::execute::{Run, State};
 use super::file::SlopesFile;
 use super::projection::Projection;
-use super::quantity::AtTarget;
+use super::quantity::{AtTarget, Subject};
 
 /// Significant digits of a printed figure.
 const DIGITS: i32 = 3;
@@ -55,6 +56,7 @@
     for run in file.runs.iter().filter(|run| run.state != State::Complete) {
         text.push_str(&missing(run));
     }
+    text.push_str(&not_measured(file));
     if file.machine.beside_other_load {
         text.push_str("Processor figures were taken beside other load.\n");
     }
@@ -157,6 +159,18 @@
     [show(predicted, figure), show(budget, figure), show(need, percent)]
 }
 
+/// Axes and roles that no group of the plan has.
+fn not_measured(file: &SlopesFile) -> String {
+    let has_axis =
+        |axis: &Axis| file.groups.iter().any(|group| group.sizes.iter().any(|(one, _)| one == axis));
+    let has_subject = |subject: &Subject| file.groups.iter().any(|group| group.subjects.contains(subject));
+    let axes = Axis::ALL.into_iter().filter(|axis| !has_axis(axis)).map(Axis::name);
+    let summed = Subject::Relay;
+    let subjects = Subject::ALL.into_iter().filter(|subject| *subject != summed && !has_subject(subject));
+    let names: Vec<&str> = axes.chain(subjects.map(Subject::name)).collect();
+    if names.is_empty() { String::new() } else { format!("Not measured: {}.\n", names.join(", ")) }
+}
+
 fn missing(run: &Run) -> String {
     let state = if run.state == State::Partial { "partial" } else { "failed" };
     let reason = run.reason.as_deref().unwrap_or("no reason given");
--- a/crates/scale/tests/slopes.rs
+++ b/crates/scale/tests/slopes.rs
@@ -3,9 +3,9 @@
 use std::path::Path;
 use std::time::Duration;
 
-use scale::fit::Form;
+use scale::fit::{Form, Point};
 use scale::measurement::{Delays, Measurement, Role};
-use scale::slopes::assess::{Prediction, assess};
+use scale::slopes::assess::{Prediction, assess, assess_points};
 use scale::slopes::axis::{Axis, Conditions};
 use scale::slopes::execute::{Run, State, execute};
 use scale::slopes::file::{FileError, SlopesFile, VERSION};
@@ -129,7 +129,20 @@
     let check = health.check.unwrap();
     assert_eq!((check.predicted.round(), check.measured), (3_000.0, 9_000.0));
     assert_eq!(health.prediction, Prediction::Failed);
-    assert!(file_tables(&file).contains("failed"));
+    let printed = file_tables(&file);
+    assert!(printed.contains("failed"));
+    assert!(printed.contains("Not measured: events, changes, configuration."), "{printed}");
+}
+
+#[test]
+fn a_form_that_ends_below_zero_is_marked_wrong_however_well_it_predicts() {
+    let falling = [100.0, 200.0, 300.0, 400.0, 500.0, 600.0];
+    let points = falling.map(|size| Point { size, value: 5_000.0 - 6.0 * size });
+    let slope = assess_points(Subject::Member, Axis::Relays, Quantity::BytesPerS, &BASE, points.to_vec());
+    assert!(slope.check.unwrap().error < 1e-9);
+    assert!(slope.at_target.unwrap().predicted < 0.0);
+    assert_eq!(slope.prediction, Prediction::Failed);
+    assert!(slope.reason.unwrap().contains("less than nothing"));
 }
 
 #[test]
