--- a/crates/scale/src/command/point.rs
+++ b/crates/scale/src/command/point.rs
@@ -3,7 +3,7 @@
 //! Allocations are counted over a whole process, so points that run side by side would count each other's memory.
 
 use std::io::{self, Read, Write};
-use std::process::{Child, Command, ExitCode, Stdio};
+use std::process::{Child, Command, ExitCode, ExitStatus, Stdio};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -49,11 +49,11 @@
     let ended = start(scenario, seed).and_then(|child| wait(child, begun + bound + GRACE));
     let real = begun.elapsed();
     match ended {
-        Ok(Ended { status: Some(0), measurement: Some(measurement), .. }) => {
+        Ok(Ended { status: Some(status), measurement: Some(measurement), .. }) if status.success() => {
             Run::complete(group, conditions, real, measurement)
         }
         Ok(Ended { status: Some(status), measurement: Some(measurement), .. })
-            if status == i32::from(PARTIAL) =>
+            if status.code() == Some(i32::from(PARTIAL)) =>
         {
             let reached = measurement.simulated_s / scenario.seconds;
             let reason = format!("ended by its bound of {:.0} s of real time", bound.as_secs_f64());
@@ -63,25 +63,21 @@
             let reason = format!("its process was ended {} s after its bound", GRACE.as_secs());
             Run::partial(group, conditions, real, 0.0, reason)
         }
-        Ok(ended) => Run::failed(group, conditions, real, ended.message()),
+        Ok(Ended { status: Some(status), errors, .. }) => {
+            Run::failed(group, conditions, real, format!("{status}: {}", errors.trim()))
+        }
         Err(error) => Run::failed(group, conditions, real, format!("{error:#}")),
     }
 }
 
 /// How a process ended.
 struct Ended {
-    /// Its exit status; nothing if it had to be ended, or a signal ended it.
-    status: Option<i32>,
+    /// Nothing if it had to be ended at its deadline.
+    status: Option<ExitStatus>,
     measurement: Option<Measurement>,
     errors: String,
 }
 
-impl Ended {
-    fn message(&self) -> String {
-        format!("status {}: {}", self.status.unwrap_or_default(), self.errors.trim())
-    }
-}
-
 fn start(scenario: &Scenario, seed: u64) -> anyhow::Result<Child> {
     let program = std::env::current_exe().context("the path of this program")?;
     let mut command = Command::new(program);
@@ -112,5 +108,5 @@
         stream.read_to_string(&mut errors)?;
     }
     let measurement = serde_json::from_slice(&output).ok();
-    Ok(Ended { status: status.and_then(|status| status.code()), measurement, errors })
+    Ok(Ended { status, measurement, errors })
 }
