--- a/crates/scale/src/slopes/plan.rs
+++ b/crates/scale/src/slopes/plan.rs
@@ -140,15 +140,15 @@
 }
 
 fn members_full() -> Group {
-    let base = Conditions { relays: 100, destinations: 1_000, events_per_relay: 260.0, ..Conditions::TARGET };
+    let base = Conditions { relays: 100, destinations: 1_000, events_per_relay: 200.0, ..Conditions::TARGET };
     members(
         base,
-        &[80.0, 100.0, 150.0, 220.0, 320.0, 470.0, 690.0, 1_000.0],
+        &[80.0, 100.0, 140.0, 200.0, 280.0, 400.0, 600.0, 1_000.0],
         &[250.0, 500.0, 1_000.0, 2_000.0, 4_000.0, 8_000.0, 20_000.0, 56_000.0],
-        &[32.5, 65.0, 100.0, 130.0, 200.0, 260.0, 390.0, 520.0],
+        &[50.0, 75.0, 100.0, 150.0, 200.0, 270.0, 370.0, 520.0],
         [
-            Conditions { relays: 150, destinations: 2_000, events_per_relay: 320.0, ..base },
-            Conditions { relays: 250, destinations: 5_000, events_per_relay: 400.0, ..base },
+            Conditions { relays: 150, destinations: 2_000, events_per_relay: 250.0, ..base },
+            Conditions { relays: 250, destinations: 5_000, events_per_relay: 350.0, ..base },
         ],
     )
 }
