End a run that allocates over half of the machine's memory, and look at bounds more often

The size of a run was estimated before its start and not watched after, and its bound of real time was looked at each 1,024 events: where an event costs 28 ms, as limits do with 56,000 destinations, that is 29 s late. Both bounds are now looked at each 64 events.

--- a/crates/scale/src/run/mod.rs
+++ b/crates/scale/src/run/mod.rs
@@ -13,7 +13,7 @@
 
 use std::time::Duration;
 
-use self::simulation::Simulation;
+use self::simulation::{Bounds, End, Simulation};
 use crate::measurement::{Measurement, Role};
 use crate::progress::Progress;
 use crate::scenario::{Scenario, ScenarioError};
@@ -32,15 +32,15 @@
     /// A role is not run by this harness.
     #[error("the role {0:?} is not run by `scale run`")]
     Role(Role),
-    /// The run would need more memory than half of what the machine has.
-    #[error("it would need about {needed_mb} MB of memory, more than half of the machine's ({bound_mb} MB)")]
+    /// The run needs more memory than half of what the machine has. It is refused by its size, or ends when it has as much.
+    #[error("it needs about {needed_mb} MB of memory, more than half of the machine's ({bound_mb} MB)")]
     Memory {
-        /// Megabytes that it needs, as estimated.
+        /// Megabytes that it needs, as estimated or as they were allocated.
         needed_mb: u64,
         /// Half of the machine's, in megabytes.
         bound_mb: u64,
     },
-    /// The real-time bound ended the run.
+    /// The bound of real time ended the run.
     #[error("partial: ended by its bound of {bound_s} s of real time after {} of {wanted_s} simulated seconds", measurement.simulated_s)]
     Partial {
         /// The bound, in seconds.
@@ -61,28 +61,28 @@
     if let Some(role) = scenario.roles.iter().find(|role| !ROLES.contains(role)) {
         return Err(RunError::Role(*role));
     }
-    check_memory(scenario)?;
+    // Where the system does not tell what the machine has, there is no bound.
+    let memory = memory::of_machine().map_or(u64::MAX, |bytes| bytes / 2);
+    within(memory, memory::needed(scenario))?;
     let mut simulation = Simulation::new(scenario, seed);
-    let bound = Duration::try_from_secs_f64(scenario.real_time_limit_s).unwrap_or(Duration::MAX);
-    let whole = simulation.run(bound, progress);
+    let real_time = Duration::try_from_secs_f64(scenario.real_time_limit_s).unwrap_or(Duration::MAX);
+    let end = simulation.run(Bounds { real_time, memory }, progress);
     let measurement = simulation.finish(seed);
-    if whole {
-        return Ok(measurement);
+    match end {
+        End::Whole => Ok(measurement),
+        End::Memory(bytes) => within(memory, bytes).map(|()| measurement),
+        End::RealTime => Err(RunError::Partial {
+            bound_s: scenario.real_time_limit_s,
+            wanted_s: scenario.seconds,
+            measurement: Box::new(measurement),
+        }),
     }
-    Err(RunError::Partial {
-        bound_s: scenario.real_time_limit_s,
-        wanted_s: scenario.seconds,
-        measurement: Box::new(measurement),
-    })
 }
 
-/// Whether the machine has twice the memory that a run needs.
-fn check_memory(scenario: &Scenario) -> Result<(), RunError> {
-    let needed = memory::needed(scenario);
-    match memory::of_machine().map(|bytes| bytes / 2) {
-        Some(bound) if needed > bound => {
-            Err(RunError::Memory { needed_mb: needed / MEGABYTE, bound_mb: bound / MEGABYTE })
-        }
-        _ => Ok(()),
+/// Whether so many bytes keep within the bound.
+fn within(bound: u64, bytes: u64) -> Result<(), RunError> {
+    if bytes <= bound {
+        return Ok(());
     }
+    Err(RunError::Memory { needed_mb: bytes / MEGABYTE, bound_mb: bound / MEGABYTE })
 }
--- a/crates/scale/src/run/simulation/mod.rs
+++ b/crates/scale/src/run/simulation/mod.rs
@@ -18,6 +18,7 @@
 use super::count::Sent;
 use super::delays::DelayHistogram;
 use super::detection::Detection;
+use super::memory;
 use super::relay::{Relay, Setup};
 use super::work::{Waiting, Work};
 use crate::destinations::{Destinations, exponential};
@@ -35,8 +36,8 @@
 const STARTS_WITHIN: Micros = SECOND;
 /// Progress is told so often, in simulated time.
 const TELL_EVERY: Micros = SECOND / 10;
-/// The real time is looked at each so many events.
-const LOOK_EVERY: u64 = 1024;
+/// Bounds are looked at each so many events.
+const LOOK_EVERY: u64 = 64;
 /// What happens.
 #[derive(Debug)]
 enum Event {
@@ -89,6 +90,25 @@
     pub(super) turns: u64,
 }
 
+/// What a run may take.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Bounds {
+    pub(super) real_time: Duration,
+    /// In bytes.
+    pub(super) memory: u64,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum End {
+    /// It came to its end.
+    Whole,
+    /// It passed its bound of real time.
+    RealTime,
+    /// It passed its bound of memory, by having so many bytes.
+    Memory(u64),
+}
+
 /// A run.
 pub(super) struct Simulation<'a> {
     pub(super) scenario: &'a Scenario,
@@ -179,15 +199,17 @@
         }
     }
 
-    /// Runs to the end; whether it came there within the bound of real time.
-    pub(super) fn run(&mut self, bound: Duration, progress: &mut dyn Progress) -> bool {
+    /// Runs to the end, or to one of its bounds.
+    pub(super) fn run(&mut self, bounds: Bounds, progress: &mut dyn Progress) -> End {
         for (step, until) in [("warming up", self.measured_from), ("measuring", self.until)] {
             let mut events = 0u64;
             while let Some((now, event)) = self.queue.pop_until(until) {
                 self.happens(now, event);
                 events += 1;
-                if events.is_multiple_of(LOOK_EVERY) && self.began.elapsed() > bound {
-                    return false;
+                if events.is_multiple_of(LOOK_EVERY)
+                    && let Some(end) = self.beyond(bounds)
+                {
+                    return end;
                 }
                 if now >= self.tell_at {
                     self.tell_at = now + TELL_EVERY;
@@ -198,7 +220,16 @@
                 self.forget();
             }
         }
-        true
+        End::Whole
+    }
+
+    /// The bound that the run has passed.
+    fn beyond(&self, bounds: Bounds) -> Option<End> {
+        let allocated = memory::allocated();
+        if allocated > bounds.memory {
+            return Some(End::Memory(allocated));
+        }
+        (self.began.elapsed() > bounds.real_time).then_some(End::RealTime)
     }
 
     /// Forgets what was counted in the warm-up.
