Ask for the commit before the runs, and test a point in a process of its own

Read after ten minutes of runs it could be a later one than was measured. The tests now start the binary on one point, to its end and to its bound, and check the sizes of both plans.

--- a/crates/scale/src/command/slopes.rs
+++ b/crates/scale/src/command/slopes.rs
@@ -56,6 +56,8 @@
         None => built_in_fleet()?,
     };
     let plan = if args.quick { Plan::quick() } else { Plan::full() };
+    // Asked before the runs, as the folder may have moved on when they are done.
+    let commit = args.commit.clone().unwrap_or_else(commit);
     let machine = Machine::observe();
     let runs = measure(&fleet, &plan, args.seed);
     let slopes = assess(&plan, &runs);
@@ -63,7 +65,7 @@
         version: VERSION,
         command: command_line(args),
         seed: args.seed,
-        commit: args.commit.clone().unwrap_or_else(commit),
+        commit,
         extent: plan.extent,
         machine,
         projections: project(&plan, &runs, &slopes),
--- a/crates/scale/tests/slopes.rs
+++ b/crates/scale/tests/slopes.rs
@@ -1,6 +1,7 @@
 //! Slopes of made-up fleets whose growth is known, and the file that keeps them.
 
 use std::path::Path;
+use std::process::{Command, Stdio};
 use std::time::Duration;
 
 use scale::fit::{Form, Point};
@@ -13,6 +14,7 @@
 use scale::slopes::plan::{Extent, Group, Plan};
 use scale::slopes::projection::{Combination, project};
 use scale::slopes::quantity::{Quantity, Subject};
+use scale::slopes::scenario::{built_in_fleet, scenario_of};
 use scale::slopes::table::{figure, file_tables, percent};
 use serde_json::json;
 
@@ -273,3 +275,49 @@
     assert_eq!(printed, ["0", "0.00123", "0.500", "12.3", "999", "1,235", "1,234,567", "-4,321"]);
     assert_eq!(percent(0.1234), "12.3%");
 }
+
+#[test]
+fn both_plans_have_the_base_and_enough_sizes_on_each_axis() {
+    for plan in [Plan::quick(), Plan::full()] {
+        for group in &plan.groups {
+            for (axis, sizes) in &group.sizes {
+                assert!(sizes.len() >= 8 && sizes.is_sorted(), "{} {axis}", group.name);
+                assert!(
+                    sizes.iter().any(|&size| axis.set(&group.base, size) == group.base),
+                    "{} {axis}",
+                    group.name
+                );
+            }
+            let [smaller, larger] = group.corners;
+            assert!(group.base.events_per_s() < smaller.events_per_s());
+            assert!(smaller.events_per_s() < larger.events_per_s());
+        }
+    }
+}
+
+#[test]
+fn a_point_is_measured_in_a_process_of_its_own_and_ends_at_its_bound() {
+    let fleet = built_in_fleet().unwrap();
+    assert_eq!((fleet.regions.len(), fleet.zones.len()), (6, 14));
+    let plan = Plan { warm_up_s: 1, simulated_s: 2, ..Plan::quick() };
+    let small = Conditions { relays: 4, destinations: 5, events_per_relay: 2.0, ..BASE };
+    let point = |conditions: &Conditions, bound: Duration| {
+        let scenario = scenario_of(&fleet, &plan, &plan.groups[0], conditions, bound);
+        let mut process = Command::new(env!("CARGO_BIN_EXE_scale"))
+            .args(["point", "--seed", "7"])
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()
+            .unwrap();
+        serde_json::to_writer(process.stdin.take().unwrap(), &scenario).unwrap();
+        let output = process.wait_with_output().unwrap();
+        (output.status.code(), serde_json::from_slice::<Measurement>(&output.stdout).unwrap())
+    };
+    let (status, measurement) = point(&small, Duration::from_secs(60));
+    assert_eq!((status, measurement.relays, measurement.seed), (Some(0), 4, 7));
+    assert!(Quantity::BytesPerS.of(Subject::Member, &measurement).unwrap() > 0.0);
+    let large = Conditions { relays: 100, ..small };
+    let (status, measurement) = point(&large, Duration::from_millis(1));
+    assert_eq!(status, Some(3));
+    assert!(measurement.simulated_s < 2.0);
+}
