--- a/crates/scale/src/page.rs
+++ b/crates/scale/src/page.rs
@@ -23,13 +23,14 @@
 const ALL_AXES: &str = "all";
 
 /// Heads of the columns of a table of slopes, and the fields that they show.
-const SLOPE_COLUMNS: [(&str, &str); 9] = [
+const SLOPE_COLUMNS: [(&str, &str); 10] = [
     ("form", "form"),
     ("largest size", "largest"),
     ("predicted there", "predicted"),
     ("measured there", "measured"),
     ("error", "error"),
     ("prediction", "prediction"),
+    ("times beyond", "beyond"),
     ("at the target", "target"),
     ("budget", "budget"),
     ("need over budget", "need"),
@@ -250,6 +251,7 @@
     let check = slope.check.as_ref();
     Some(match field {
         "form" => check.map_or(Value::Nothing, |check| Value::Word(check.fit.form.name())),
+        "beyond" => Value::of(slope.beyond()),
         "largest" => Value::of(slope.points.last().map(|point| point.size)),
         "predicted" => Value::of(check.map(|check| check.predicted)),
         "measured" => Value::of(check.map(|check| check.measured)),
--- a/crates/scale/src/slopes/assess.rs
+++ b/crates/scale/src/slopes/assess.rs
@@ -81,6 +81,14 @@
     pub at_target: Option<AtTarget>,
 }
 
+impl Slope {
+    /// How many times larger the coming size is than the largest that was measured; up to 1 it lies within them.
+    pub fn beyond(&self) -> Option<f64> {
+        let largest = self.points.last()?.size;
+        Some(self.axis.size(&self.at_target?.conditions) / largest)
+    }
+}
+
 /// Assesses every quantity along every axis of the plan that any run measured.
 pub fn assess(plan: &Plan, runs: &[Run]) -> Vec<Slope> {
     let mut slopes = Vec::new();
--- a/crates/scale/src/slopes/table.rs
+++ b/crates/scale/src/slopes/table.rs
@@ -16,7 +16,7 @@
 /// Parts below this percentage are printed as none.
 const LEAST_PERCENT: f64 = 1e-4;
 
-const SLOPE_HEADER: [&str; 12] = [
+const SLOPE_HEADER: [&str; 13] = [
     "role",
     "axis",
     "quantity",
@@ -26,6 +26,7 @@
     "measured",
     "error",
     "prediction",
+    "times beyond",
     "at the target",
     "budget",
     "need",
@@ -49,7 +50,7 @@
 pub fn file_tables(file: &SlopesFile) -> String {
     let mut text = format!(
         "Slopes: predicted from the smaller half of the sizes, measured at the largest; at the target with all other \
-         sizes at the base\n{}\n\nAll sizes at once: predicted and measured at the larger corner of the group\n{}\n",
+         sizes at the base, so many times beyond the largest size\n{}\n\nAll sizes at once: predicted and measured at the larger corner of the group\n{}\n",
         slope_table(&file.slopes),
         projection_table(&file.projections)
     );
@@ -82,6 +83,7 @@
             check.map(|check| (check.predicted, check.measured, check.error)),
             slope.prediction,
         ));
+        row.push(slope.beyond().map(figure).unwrap_or_default());
         row.extend(target(slope.at_target.as_ref()));
         table.add_row(row);
     }
--- a/crates/scale/tests/slopes.rs
+++ b/crates/scale/tests/slopes.rs
@@ -119,6 +119,7 @@
     assert!((target.predicted - 5_200.0).abs() < 1e-6);
     assert!((target.need_over_budget.unwrap() - 5_200.0 / 7_000.0).abs() < 1e-9);
     assert_eq!(target.conditions, Conditions { relays: 1_000, ..BASE });
+    assert_eq!(member.beyond(), Some(1_000.0 / 300.0));
     let memory = file.slope(Subject::Member, Axis::Destinations, Quantity::MemoryMb).unwrap();
     assert_eq!(memory.fit.unwrap().form, Form::Constant);
     assert!((memory.at_target.unwrap().predicted - 2.0).abs() < 1e-9);
