--- a/crates/scale/src/slopes/table.rs
+++ b/crates/scale/src/slopes/table.rs
@@ -4,10 +4,11 @@
 use comfy_table::{CellAlignment, Table};
 
 use super::assess::{Prediction, Slope};
+use super::axis::Axis;
 use super::execute::{Run, State};
 use super::file::SlopesFile;
 use super::projection::Projection;
-use super::quantity::AtTarget;
+use super::quantity::{AtTarget, Subject};
 
 /// Significant digits of a printed figure.
 const DIGITS: i32 = 3;
@@ -15,7 +16,7 @@
 /// Parts below this percentage are printed as none.
 const LEAST_PERCENT: f64 = 1e-4;
 
-const SLOPE_HEADER: [&str; 12] = [
+const SLOPE_HEADER: [&str; 13] = [
     "role",
     "axis",
     "quantity",
@@ -25,6 +26,7 @@
     "measured",
     "error",
     "prediction",
+    "times beyond",
     "at the target",
     "budget",
     "need",
@@ -48,13 +50,14 @@
 pub fn file_tables(file: &SlopesFile) -> String {
     let mut text = format!(
         "Slopes: predicted from the smaller half of the sizes, measured at the largest; at the target with all other \
-         sizes at the base\n{}\n\nAll sizes at once: predicted and measured at the larger corner of the group\n{}\n",
+         sizes at the base, so many times beyond the largest size\n{}\n\nAll sizes at once: predicted and measured at the larger corner of the group\n{}\n",
         slope_table(&file.slopes),
         projection_table(&file.projections)
     );
     for run in file.runs.iter().filter(|run| run.state != State::Complete) {
         text.push_str(&missing(run));
     }
+    text.push_str(&not_measured(file));
     if file.machine.beside_other_load {
         text.push_str("Processor figures were taken beside other load.\n");
     }
@@ -80,6 +83,7 @@
             check.map(|check| (check.predicted, check.measured, check.error)),
             slope.prediction,
         ));
+        row.push(slope.beyond().map(figure).unwrap_or_default());
         row.extend(target(slope.at_target.as_ref()));
         table.add_row(row);
     }
@@ -157,6 +161,18 @@
     [show(predicted, figure), show(budget, figure), show(need, percent)]
 }
 
+/// Axes and roles that no group of the plan has.
+fn not_measured(file: &SlopesFile) -> String {
+    let has_axis =
+        |axis: &Axis| file.groups.iter().any(|group| group.sizes.iter().any(|(one, _)| one == axis));
+    let has_subject = |subject: &Subject| file.groups.iter().any(|group| group.subjects.contains(subject));
+    let axes = Axis::ALL.into_iter().filter(|axis| !has_axis(axis)).map(Axis::name);
+    let summed = Subject::Relay;
+    let subjects = Subject::ALL.into_iter().filter(|subject| *subject != summed && !has_subject(subject));
+    let names: Vec<&str> = axes.chain(subjects.map(Subject::name)).collect();
+    if names.is_empty() { String::new() } else { format!("Not measured: {}.\n", names.join(", ")) }
+}
+
 fn missing(run: &Run) -> String {
     let state = if run.state == State::Partial { "partial" } else { "failed" };
     let reason = run.reason.as_deref().unwrap_or("no reason given");
