Move the tests of the crate fleet into test files

Tests live in test files, and these stood in the sources.

No behaviour changes: the sources lost their test modules and nothing else.

--- a/crates/fleet/src/frame.rs
+++ b/crates/fleet/src/frame.rs
@@ -32,22 +32,3 @@
     let said = |(to, frames): (Peer, Vec<Vec<u8>>)| frames.into_iter().map(move |bytes| Said { to, bytes });
     by_peer.into_iter().flat_map(said).collect()
 }
-
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn items_of_a_peer_keep_their_order_and_no_frame_is_longer_than_its_room() {
-        let items = [(2, vec![1; 6]), (1, vec![2; 3]), (2, vec![3; 6]), (2, vec![4; 2])];
-        let said = pack(items, 8);
-        let expected = [(1, vec![2; 3]), (2, vec![1; 6]), (2, [vec![3; 6], vec![4; 2]].concat())];
-        assert_eq!(said, expected.map(|(to, bytes)| Said { to, bytes }));
-    }
-
-    #[test]
-    fn what_makes_no_sense_ends_a_frame() {
-        assert_eq!(read::<bool>(&[1, 0, 1]), (vec![true, false, true], true));
-        assert_eq!(read::<bool>(&[1, 7, 1]), (vec![true], false));
-    }
-}
