--- a/crates/rig/src/audit.rs
+++ b/crates/rig/src/audit.rs
@@ -9,9 +9,9 @@
 use serde::{Deserialize, Serialize};
 use tokio::sync::oneshot;
 
+use crate::oracle::served;
 use crate::partner::trouble;
 use crate::scenario::{Phase, Scenario, What};
-use crate::yardstick::served;
 
 /// A message's end is late after this, beyond its time.
 const SLACK_S: f64 = 0.3;
@@ -236,7 +236,7 @@
     pub turned_away: usize,
     /// Messages of the phase that were taken on and ended otherwise than by delivery.
     pub given_up: usize,
-    /// The worth of its messages that were delivered, as a part of what the yardstick delivers of them.
+    /// The worth of its messages that were delivered, as a part of what the oracle delivers of them.
     pub worth: f64,
     /// From handing in to the notice of what was given up: the median and the 90th of 100, in seconds.
     pub told_s: [f64; 2],
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`scenario`] is what is to be played, [`fabric`] what becomes of a note between two relays, [`partner`] and [`agent`]
 //! the stand-ins of partners and of discovery, [`fleet`] the processes, [`load`] the clients, [`front`] what sends them
-//! to a relay that is ready, [`clock`] the time of all of them, [`audit`] the findings, [`yardstick`] what a relay with
+//! to a relay that is ready, [`clock`] the time of all of them, [`audit`] the findings, [`oracle`] what a relay with
 //! perfect knowledge would serve, [`resources`] what a fleet takes of the machine, [`stage`] what is set up before a
 //! play, [`play`] one play of all of it, [`report`] its plots, [`anchor`] the cost of control in real processes.
 //!
@@ -18,10 +18,10 @@
 pub mod front;
 pub mod http;
 pub mod load;
+pub mod oracle;
 pub mod partner;
 pub mod play;
 pub mod report;
 pub mod resources;
 pub mod scenario;
 pub mod stage;
-pub mod yardstick;
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -367,7 +367,7 @@
         ("refused a second", |f| f.refused_per_s),
         ("most calls of limit", |f| f.most_calls),
         ("trials", |f| f.trials as f64),
-        ("worth of yardstick", |f| f.worth),
+        ("worth of oracle", |f| f.worth),
         ("told, median s", |f| f.told_s[0]),
         ("turned away", |f| f.turned_away as f64),
         ("taken of who came back", |f| f.came_back[1] as f64 / f64::max(f.came_back[0] as f64, 1.0)),
--- a/crates/rig/src/yardstick.rs
+++ b/crates/rig/src/oracle.rs
@@ -1,5 +1,5 @@
-//! What one relay would serve that sees the queues of all, and not what is to come: the yardstick for what a fleet serves
-//! under overload. It must never know more than had been handed in by the moment of each call.
+//! The oracle: a baseline for what a fleet serves under overload. It stands for one relay that sees the queues of all
+//! relays, but not the future: for each call it uses only what had been submitted by then.
 
 use std::collections::{BTreeSet, HashSet};
 
@@ -7,12 +7,12 @@
 use crate::partner::trouble;
 use crate::scenario::Scenario;
 
-/// The messages that it serves, by id: at each moment at which a partner takes a call, the worthiest in time that waits,
-/// and of these the one that is due first.
+/// The ids of the messages that the oracle serves. Whenever a partner accepts a call, it gets the message of the highest
+/// priority among those that wait and are not overdue; among equals, the one with the earliest deadline.
 pub fn served<'a>(scenario: &Scenario, log: &'a Log) -> HashSet<&'a str> {
     let mut served = HashSet::new();
     for (number, partner) in scenario.each_partner().iter().enumerate() {
-        // What a client hands in again elsewhere is the same message.
+        // A message that a client submits again to another relay counts once.
         let own = log.sent.iter().filter(|(id, sent)| sent.partner == number && id.ends_with("-0"));
         let mut comes: Vec<(&str, &Sent)> = own.map(|(id, sent)| (id.as_str(), sent)).collect();
         comes.sort_by(|a, b| a.1.at_s.total_cmp(&b.1.at_s).then(a.0.cmp(b.0)));
@@ -22,7 +22,7 @@
         let end_s = scenario.seconds + scenario.load.time_left_ms as f64 / 1000.0;
         while at_s < end_s {
             while let Some((id, sent)) = comes.next_if(|(_, sent)| sent.at_s <= at_s) {
-                // The first is the worthiest, then the one that is due first.
+                // The first is of the highest priority, then of the earliest deadline.
                 waits.insert((1000 - worth(sent.once) as u64, (sent.due_s * 1e6) as u64, id));
             }
             waits.retain(|(_, due, _)| *due as f64 / 1e6 > at_s);
