--- a/crates/scale/src/command/mod.rs
+++ b/crates/scale/src/command/mod.rs
@@ -1,3 +1,8 @@
 //! The commands of the binary.
 
+pub mod page;
+pub mod point;
+pub mod report;
+pub mod rollout;
 pub mod run;
+pub mod slopes;
--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -3,17 +3,23 @@
 //!
 //! The relays are hollow. Each runs the very code of the cores (`fleet`, `permits`, `peers`, `turns`); only sockets, disk, clock
 //! and the work of destinations are simulated. [`scenario`] says what to run, [`run`] runs it, [`measurement`] is what comes
-//! out. [`network`], [`queue`] and [`random`] know nothing of the cores and serve other simulations as well.
+//! out. [`slopes`] runs many sizes and predicts larger ones by a [`fit`]; [`report`] and [`page`] show what came out.
+//! [`network`], [`queue`] and [`random`] know nothing of the cores and serve other simulations as well.
 #![forbid(unsafe_code)]
 
 pub mod destinations;
+pub mod fit;
 pub mod measurement;
 pub mod network;
+pub mod page;
 pub mod progress;
 pub mod queue;
 pub mod random;
+pub mod report;
+pub mod rollout_run;
 pub mod run;
 pub mod scenario;
+pub mod slopes;
 pub mod time;
 pub mod traffic;
 
