Ask machines that were silent after those that answer, and test lies and lost zones

A machine that claims a version it does not have was asked for it first each time, which halved the pace of catching up from the others.

Silence now counts like a change that does not hold. New tests: that lie, a fleet without any representative, and arbitrary messages to a lone relay.

--- a/crates/rollout/src/catch_up.rs
+++ b/crates/rollout/src/catch_up.rs
@@ -13,8 +13,8 @@
 const ANSWER_TIMEOUT: Micros = SECOND / 2;
 /// The same while a snapshot is being fetched, which as a rule means that nobody has the changes any more.
 const FETCHING_TIMEOUT: Micros = 5 * SECOND;
-/// A machine that sent what does not hold is asked after all others for so long, in microseconds. It is not left out, so
-/// that forged datagrams in its name cannot cut a relay off from it.
+/// A machine that sent what does not hold, or did not answer, is asked after all others for so long, in microseconds. It is not
+/// left out, so that neither lost nor forged datagrams can cut a relay off from it.
 const DISTRUSTED: Micros = 30 * SECOND;
 
 #[derive(Clone, Copy, Debug)]
@@ -28,7 +28,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct CatchUp {
     ahead: BTreeMap<Peer, Version>,
-    /// Machines that sent what does not hold, and until when that counts.
+    /// Machines that sent what does not hold or were silent, and until when that counts.
     distrusted: BTreeMap<Peer, Micros>,
     fetching: bool,
     since: Option<Micros>,
@@ -70,8 +70,9 @@
             return None;
         }
         if let Some(silent) = self.request.take().filter(|request| request.after == ours) {
-            // It is asked again once it shows that it is ahead.
+            // It is asked again once it shows that it is ahead, and after those that answer.
             self.ahead.remove(&silent.to);
+            self.distrust(now, silent.to);
         }
         let (to, _) =
             self.ahead.iter().max_by_key(|(peer, version)| (**version, std::cmp::Reverse(**peer)))?;
--- a/crates/rollout/tests/distribution.rs
+++ b/crates/rollout/tests/distribution.rs
@@ -81,6 +81,19 @@
     }
 }
 
+#[test]
+fn a_fleet_without_any_representative_goes_by_the_control_machines() {
+    let mut world = settled(13);
+    let representatives = world.representatives();
+    assert_eq!(representatives.len(), 12, "three in each zone");
+    representatives.iter().for_each(|peer| world.stop(*peer));
+    world.run(8 * SECOND);
+    let left: Vec<_> = world.all().into_iter().filter(|peer| world.is_up(*peer)).collect();
+    let version = world.change(vec![put(1, 80)]);
+    assert!(world.until(&left, version, IN_FORCE).is_some(), "some relay has no way to control");
+    assert!(world.most_subscribers <= MOST_SUBSCRIBERS);
+}
+
 #[test]
 fn control_machines_may_fail_while_one_is_left() {
     let mut world = settled(7);
--- a/crates/rollout/tests/hostile.rs
+++ b/crates/rollout/tests/hostile.rs
@@ -2,10 +2,14 @@
 
 mod world;
 
-use destinations::{Change, DestinationId, Operation, SignedChange, SigningKey, Version};
+use destinations::{Change, DestinationId, DestinationSet, Operation, SignedChange, SigningKey, Version};
+use fleet::link::{Channel, Sender};
+use fleet::members::Members;
+use fleet::note::Stamp;
 use proptest::prelude::*;
 use rollout::message::{FRAGMENT_BYTES, Message, decode};
-use rollout::{Kind, Peer, RolloutError, SECOND};
+use rollout::topology::{Machine, Place, Role, Topology};
+use rollout::{Config, Kind, Node, Peer, RolloutError, SECOND};
 use world::{Layout, World, control_key, put};
 
 /// A settled fleet with a version in force, a relay of it, and the relay's primary upstream.
@@ -165,17 +169,71 @@
     assert!(world.version(control) < change.version, "control takes changes from its own cluster alone");
 }
 
+#[test]
+fn a_machine_that_claims_versions_it_does_not_have_holds_nobody_up() {
+    let (mut world, relay, upstream) = fleet(38);
+    let liar = world.zone(0)[4];
+    let everyone = world.all();
+    let rest: Vec<Peer> = everyone.iter().copied().filter(|peer| *peer != relay).collect();
+    world.cut(&rest, &[relay]);
+    world.run(3 * SECOND);
+    for destination in 10..22 {
+        world.change(vec![put(destination, 80)]);
+        world.run(SECOND / 5);
+    }
+    world.heal();
+    let version = world.author.version();
+    for number in 0..40 {
+        let boast =
+            Message::Heartbeat { number, primary: false, version: Version { epoch: 9, number: u64::MAX } };
+        world.inject(liar, relay, &[boast]);
+        world.run(SECOND / 10);
+    }
+    assert!(
+        world.until(&[relay], version, 8 * SECOND).is_some(),
+        "it waits for the liar, not for {upstream}"
+    );
+}
+
 #[test]
 fn a_relay_may_not_publish() {
     let (world, relay, _) = fleet(37);
     let signed = SignedChange::sign(&next_change(&world), &control_key()).expect("within bounds");
     let topology = std::sync::Arc::clone(&world.topology);
-    let config = rollout::Config::new(relay, topology, world::control_keys(), 1);
-    let mut node = rollout::Node::new(config, destinations::DestinationSet::new(), None, world.now);
+    let config = Config::new(relay, topology, world::control_keys(), 1);
+    let mut node = Node::new(config, DestinationSet::new(), None, world.now);
     assert_eq!(node.publish(world.now, signed), Err(RolloutError::NotControl));
 }
 
+/// A relay with nothing but its topology, for messages of any kind.
+fn lone_relay() -> Node {
+    let place = Place { region: 0, zone: 0 };
+    let machine = |peer, role| Machine { peer, place, role };
+    let machines = [machine(0, Role::Relay), machine(1, Role::Relay), machine(2, Role::Control)];
+    let topology = Topology::new(&machines).expect("a sound list").into();
+    Node::new(Config::new(0, topology, world::control_keys(), 1), DestinationSet::new(), None, 0)
+}
+
 proptest! {
+    #[test]
+    fn no_messages_panic_or_change_the_set(
+        frames in prop::collection::vec((0u16..4, 0u8..13, prop::collection::vec(any::<u8>(), 0..60)), 1..40)
+    ) {
+        let mut node = lone_relay();
+        let members = Members::new(0, 1, 0..3);
+        let mut now = 0;
+        for (peer, tag, mut bytes) in frames {
+            bytes.insert(0, tag);
+            let from = Sender { peer, incarnation: 1, sent: Stamp(0), late: 0 };
+            node.hear(now, &from, &members, &bytes);
+            now = node.next_at(now).min(now + SECOND) + 1000;
+            for said in node.say(now, &members, 224, usize::MAX) {
+                prop_assert!(said.bytes.len() <= 224);
+            }
+        }
+        prop_assert_eq!(node.set().version(), Version::default());
+    }
+
     #[test]
     fn no_frame_panics_or_yields_more_than_it_holds(bytes in prop::collection::vec(any::<u8>(), 0..256)) {
         let (messages, _) = decode(&bytes);
