--- a/crates/rollout/src/subscribers.rs
+++ b/crates/rollout/src/subscribers.rs
@@ -19,6 +19,9 @@
 /// Pushes of one version to one subscriber at the most; later its heartbeat shows what it lacks.
 const MOST_PUSHES: u32 = 4;
 /// Changes that are pushed to a subscriber beyond what it has acknowledged. One that lacks more asks for them itself.
+///
+/// There is no limit of bytes a second beside this window: after a partition has healed, new changes wait behind the backlog,
+/// which is therefore passed on as fast as it is acknowledged. How long that burst is follows from how many changes were missed.
 pub const PUSH_WINDOW: u64 = 4;
 
 /// A granted lease.
--- a/crates/scale/src/rollout_run/one_relay.rs
+++ b/crates/scale/src/rollout_run/one_relay.rs
@@ -10,6 +10,10 @@
 use super::cost::{allocated, thread_time_ns};
 use crate::random::{Purpose, stream};
 
+/// Control machines whose keys a relay knows. The changes are signed by the last of them, which costs the most to verify:
+/// the keys are tried one after the other.
+const CONTROLS: usize = 6;
+
 /// The cost of one machine.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct OneRelay {
@@ -44,7 +48,7 @@
     for _ in 0..changes {
         let change = set.prepare(author::operations(&mut random, destinations)).expect("it fits");
         set.apply(&change).expect("it was prepared for this set");
-        signed.push(author::sign(&change, 0));
+        signed.push(author::sign(&change, CONTROLS - 1));
     }
     drop(set);
     let change_bytes =
@@ -73,6 +77,6 @@
 fn node(set: DestinationSet, newest: destinations::SignedChange) -> Node {
     let machine = Machine { peer: 0, place: Place { region: 0, zone: 0 }, role: Role::Control };
     let topology = Topology::new(&[machine]).expect("one control machine");
-    let keys: ControlKeys = author::control_keys(6);
+    let keys: ControlKeys = author::control_keys(CONTROLS);
     Node::new(Config::new(0, topology.into(), keys, 1), set, Some(newest), 0)
 }
