--- a/crates/scale/src/rollout_run/scenario.rs
+++ b/crates/scale/src/rollout_run/scenario.rs
@@ -56,7 +56,7 @@
     pub control_zones: Vec<ZoneId>,
     /// Changes that are committed.
     pub changes: u32,
-    /// Changes a day; they come one after the other, by this rate with half of the gap as jitter.
+    /// Changes a day; each comes at a random moment of a gap of its own.
     pub changes_per_day: f64,
     /// How the network carries datagrams.
     #[serde(default)]
--- a/crates/scale/src/rollout_run/simulation.rs
+++ b/crates/scale/src/rollout_run/simulation.rs
@@ -207,7 +207,7 @@
         for cut in absolute(&self.scenario.cuts, self.measured_from) {
             self.queue.push(cut.until, Event::Healed);
         }
-        self.queue.push(self.measured_from + self.scenario.gap(), Event::Change);
+        self.plan_change();
     }
 
     /// Runs to the end; whether it came there within the bound of real time.
@@ -404,12 +404,17 @@
         }
         self.made += 1;
         self.waiting.push_back((now, author::operations(&mut self.random, self.scenario.destinations)));
-        let gap = self.scenario.gap();
-        let gap = gap / 2 + self.random.random_range(0..=gap);
-        self.queue.push(now + gap, Event::Change);
+        self.plan_change();
         self.propose(now);
     }
 
+    /// Each change comes at a random moment of a gap of its own, so that as many come as there are gaps.
+    fn plan_change(&mut self) {
+        let gap = self.scenario.gap();
+        let at = self.measured_from + gap * Micros::from(self.made) + self.random.random_range(0..=gap);
+        self.queue.push(at, Event::Change);
+    }
+
     /// Proposes the change that waits to the leader of the highest term.
     fn propose(&mut self, now: Micros) {
         let Some((_, operations)) = self.waiting.front().cloned() else { return };
