Put the fleet crate's doc comments in the field's terms

Its comments spoke of how long, how many and who is there, where a newcomer looks for timeouts, intervals, limits and a membership.

Doc comments of crates/fleet/src now say what an item is, with unit and errors, in the terms of SWIM and of datagram protocols; two comments of crates/permits are wrapped. No identifier changes.

No behaviour changes: without comments and blank lines the sources are the same.

--- a/crates/fleet/src/frame.rs
+++ b/crates/fleet/src/frame.rs
@@ -1,5 +1,6 @@
-//! Frames of channels whose items follow each other in postcard's form. Owns how they are packed and read. It must never
-//! panic, nor yield more than a frame holds, on whatever comes.
+//! Frames of channels whose items follow each other in postcard's encoding: packing and reading.
+//!
+//! Arbitrary input neither panics nor yields more items than a frame holds.
 
 use std::collections::BTreeMap;
 
@@ -8,7 +9,8 @@
 use crate::Peer;
 use crate::link::Said;
 
-/// The items of a frame up to the first that makes no sense, as what a later build adds; whether all of it made sense.
+/// Reads the items of a frame, up to the first that cannot be decoded, such as one that a later build added. Also
+/// returns whether all of the frame was decoded.
 pub fn read<T: DeserializeOwned>(mut frame: &[u8]) -> (Vec<T>, bool) {
     let mut items = Vec::new();
     while !frame.is_empty() {
@@ -19,7 +21,7 @@
     (items, true)
 }
 
-/// Frames of items, as many to one as it has room for; the items of a peer stay in their order.
+/// Packs items into frames of at most `room` bytes, in the order of each peer's items.
 pub fn pack(items: impl IntoIterator<Item = (Peer, Vec<u8>)>, room: usize) -> Vec<Said> {
     let mut by_peer: BTreeMap<Peer, Vec<Vec<u8>>> = BTreeMap::new();
     for (to, bytes) in items {
--- a/crates/fleet/src/keys.rs
+++ b/crates/fleet/src/keys.rs
@@ -1,19 +1,19 @@
-//! The keys that notes are signed by. Owns the MAC. It must never let a note pass that none of them signed.
+//! The keys that authenticate datagrams, and their MAC.
 
 use hmac::{Hmac, Mac};
 use sha2::Sha256;
 
 use crate::note::NoteError;
 
-/// Bytes of a MAC.
+/// Length of a MAC, in bytes.
 pub const MAC: usize = 12;
 
-/// A key that notes are signed by.
+/// A key that authenticates datagrams.
 #[derive(Clone)]
 pub struct Key {
     /// Its id, not 0.
     pub id: u8,
-    /// The key.
+    /// The secret.
     pub bytes: Vec<u8>,
 }
 
@@ -23,7 +23,7 @@
     }
 }
 
-/// The keys: the first signs, each is taken. With none, notes are taken as they come.
+/// The keys: the first signs, and each is accepted. Without any, datagrams are not authenticated.
 #[derive(Clone, Debug, Default)]
 pub struct Keys(pub Vec<Key>);
 
@@ -34,27 +34,27 @@
 }
 
 impl Keys {
-    /// Bytes that a MAC takes, none where there is no key.
+    /// Length of the MAC in bytes, 0 without a key.
     pub fn mac_len(&self) -> usize {
         if self.0.is_empty() { 0 } else { MAC }
     }
 
-    /// The id of the key that signs, 0 where there is none.
+    /// The id of the key that signs, 0 without a key.
     pub fn first_id(&self) -> u8 {
         self.0.first().map_or(0, |key| key.id)
     }
 
-    /// Adds the MAC, where there is a key.
+    /// Appends the MAC, if there is a key.
     pub fn sign(&self, out: &mut Vec<u8>) {
         if let Some(mac) = self.0.first().and_then(|key| mac(key, out)) {
             out.extend(mac.finalize().into_bytes().iter().take(MAC));
         }
     }
 
-    /// What was signed by the key of that id, without its MAC.
+    /// Verifies the MAC by the key of this id. Returns the bytes without it.
     ///
     /// # Errors
-    /// Where the key or the MAC is wrong.
+    /// Where the key is unknown, the MAC is wrong or there is no room for one.
     pub fn signed<'a>(&self, id: u8, bytes: &'a [u8]) -> Result<&'a [u8], NoteError> {
         if self.0.is_empty() {
             return if id == 0 { Ok(bytes) } else { Err(NoteError::UnknownKey(id)) };
--- a/crates/fleet/src/lateness.rs
+++ b/crates/fleet/src/lateness.rs
@@ -1,18 +1,20 @@
-//! How old a note is when it comes: what it took beyond the least that a note of its sender took lately. Owns that
-//! estimate. Clocks may be off, but not by more than some; one that jumps is made out within two spans.
+//! Estimate of a datagram's delay: its transit time beyond the minimum among its sender's recent datagrams.
+//!
+//! Clocks may differ, within a limit. After a clock has jumped, the estimate recovers within two windows.
 
 use crate::note::Stamp;
 use crate::{Micros, SECOND};
 
-/// Clocks may be off by so much; what took longer than that at the least is late.
+/// Maximum assumed difference between clocks, in microseconds. A minimum transit time beyond it counts as delay.
 const CLOCKS: Micros = 3 * SECOND / 2;
-/// The least is that of the present span and the one before.
+/// Length of a window, in microseconds. The minimum is taken over the present window and the one before.
 const SPAN: Micros = 5 * SECOND;
-/// A stamp that seems older than this is of a clock that is ahead.
+/// A stamp that seems older than this comes from a clock that is ahead, in microseconds.
 const AHEAD: Micros = AROUND / 2;
+/// Period after which stamps repeat, in microseconds.
 const AROUND: Micros = (1 << 32) * 1000;
 
-/// What is known of one sender's notes.
+/// The transit times of one sender's datagrams.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Lateness {
     span: Micros,
@@ -21,7 +23,7 @@
 }
 
 impl Lateness {
-    /// A note comes that was sent at that stamp; how late it is.
+    /// A datagram with this stamp has arrived. Returns its estimated delay, in microseconds.
     pub fn came(&mut self, now: Micros, sent: Stamp) -> Micros {
         let age = sent.age(now);
         let took = if age > AHEAD { age - AROUND } else { age };
--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -1,6 +1,8 @@
-//! The link: opens what comes and hands each frame to its channel, packs what channels say into notes, and keeps one
-//! budget of bytes for all. Owns numbers, the guard against replays and floods, and who is there. It must never send a
-//! note over 256 bytes, nor let a channel's nonsense reach another.
+//! The transport between relays: opens datagrams and dispatches their frames to channels, and packs what channels send
+//! into datagrams under one byte budget.
+//!
+//! It owns sequence numbers, replay and flood protection, and the membership. No datagram exceeds 256 bytes, and
+//! invalid frames of one channel never affect another.
 
 use std::collections::BTreeMap;
 
@@ -12,120 +14,122 @@
 use crate::note::{self, FRAME, Head, MOST, NoteError, Replay, Stamp};
 use crate::{Micros, Peer, SECOND};
 
-/// The link's own channel: who is there.
+/// Number of the link's own channel: membership.
 const MEMBERS: u8 = 0;
-/// A note that is later than this says nothing.
+/// A datagram that was delayed for longer than this has no effect, in microseconds.
 const TOO_LATE: Micros = 30 * SECOND;
-/// The budget may be saved up for so long.
+/// Time for which unused budget accumulates, in microseconds.
 const SAVED: Micros = SECOND / 2;
-/// Who is there is looked at so often.
+/// Interval between checks of the membership, in microseconds.
 const LOOK: Micros = SECOND / 2;
-/// Notes of one sender in a second at the most: ten times what the busiest steward sends to one relay.
+/// Maximum number of datagrams accepted from one sender in a second: ten times what the busiest steward sends to one
+/// relay.
 const FLOOD: u32 = 2000;
-/// Answers that wait to be sent at the most.
+/// Maximum number of answers that wait to be sent.
 const MOST_SHORT: usize = 512;
 
-/// What a link is given.
+/// Configuration of a link.
 #[derive(Clone, Debug)]
 pub struct Config {
     /// This relay's number.
     pub me: Peer,
-    /// Its start, a number that grows from one start to the next.
+    /// Its incarnation, which grows from one start to the next.
     pub incarnation: u32,
     /// All relays of the fleet.
     pub peers: Vec<Peer>,
-    /// By which notes are signed.
+    /// Keys that authenticate datagrams.
     pub keys: Keys,
-    /// Bytes a second that channels with a budget may send together.
+    /// Limit for all channels with a budget together, in bytes per second.
     pub bytes_per_s: u32,
-    /// Whether it asks who says nothing if it is there.
+    /// Whether silent peers are pinged.
     pub asks: bool,
 }
 
-/// Who says something.
+/// The sender of a frame.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Sender {
     /// The relay.
     pub peer: Peer,
-    /// Its start.
+    /// Its incarnation.
     pub incarnation: u32,
-    /// When it said so, by its clock.
+    /// When the datagram was sent, by the sender's clock.
     pub sent: Stamp,
-    /// How old that is.
+    /// Estimated delay of the datagram, in microseconds.
     pub late: Micros,
 }
 
-/// Something to say to a peer.
+/// A frame for a peer.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Said {
-    /// To whom.
+    /// The recipient.
     pub to: Peer,
-    /// What, in the channel's own form.
+    /// Its content, in the channel's own encoding.
     pub bytes: Vec<u8>,
 }
 
-/// What relays tell each other of one matter. Channels are asked in their order; the first says most urgently.
+/// A protocol between relays on the link. Channels are polled in their order, the most urgent one first.
 pub trait Channel {
-    /// Its number on the wire, not 0.
+    /// The channel's number on the wire, not 0.
     fn id(&self) -> u8;
 
-    /// Whether the link's budget binds it. One that is not bound keeps within limits of its own.
+    /// Whether the link's byte budget applies. A channel that it does not bind has limits of its own.
     fn bound(&self) -> bool {
         true
     }
 
-    /// A peer says something; whether all of it made sense.
+    /// Receives a frame. Returns whether all of it was valid.
     fn hear(&mut self, now: Micros, from: &Sender, members: &Members, bytes: &[u8]) -> bool;
 
-    /// What it has to say now, in pieces of at most `room` bytes each and `allowance` bytes together.
+    /// Returns the frames to send now, of at most `room` bytes each and `allowance` bytes in total.
     fn say(&mut self, now: Micros, members: &Members, room: usize, allowance: usize) -> Vec<Said>;
 
-    /// When it has something to say next.
+    /// When the channel next has something to send.
     fn next_at(&self, now: Micros) -> Micros;
 }
 
 /// A datagram to send.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Out {
-    /// To whom.
+    /// The recipient.
     pub to: Peer,
-    /// Its bytes.
+    /// The encoded datagram.
     pub bytes: Vec<u8>,
 }
 
-/// What was counted.
+/// Counters of a link.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
-    /// Notes sent, and their bytes.
+    /// Datagrams sent.
     pub sent: u64,
-    /// See `sent`.
+    /// Bytes in them.
     pub bytes: u64,
-    /// Notes taken.
+    /// Datagrams accepted.
     pub taken: u64,
-    /// Notes that had no effect, by reason.
+    /// Datagrams without effect, by reason.
     pub ignored: BTreeMap<NoteError, u64>,
-    /// Frames that were skipped: of a channel that is not known, or that made no sense.
+    /// Frames skipped: those of an unknown channel, and invalid ones.
     pub skipped: u64,
 }
 
 impl Counts {
-    /// Notes that had no effect, whatever the reason.
+    /// Number of datagrams without effect, for any reason.
     pub fn ignored(&self) -> u64 {
         self.ignored.values().sum()
     }
 }
 
-/// What the link itself says.
+/// A message of the link's own channel.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 enum Word {
-    /// Are you there?
+    /// Asks whether the recipient is alive.
     Ping,
-    /// I am.
+    /// Answers a ping, or a report that the sender refutes.
     Pong,
-    /// This is where a peer stands.
+    /// Reports the state of a peer.
     Member { peer: Peer, incarnation: u32, standing: Standing },
 }
 
+/// What is kept for one sender.
 #[derive(Clone, Copy, Debug, Default)]
 struct Line {
     replay: Replay,
@@ -134,7 +138,7 @@
     in_second: u32,
 }
 
-/// Frames of one note, by channel.
+/// Frames of one datagram, with their channels.
 type Frames = Vec<(u8, Vec<u8>)>;
 
 /// A relay's end of the link.
@@ -148,13 +152,13 @@
     tokens: f64,
     tokens_at: Micros,
     look_at: Micros,
-    /// A channel with a budget had more to say than it allowed.
+    /// Whether the budget held back frames at the last poll.
     held_back: bool,
     counts: Counts,
 }
 
 impl Link {
-    /// A link that opens now.
+    /// Creates a link at the present time.
     pub fn new(config: Config, now: Micros) -> Self {
         let members = Members::new(config.me, config.incarnation, config.peers.iter().copied());
         Link {
@@ -171,32 +175,32 @@
         }
     }
 
-    /// Who is there.
+    /// The membership.
     pub fn members(&self) -> &Members {
         &self.members
     }
 
-    /// What was counted.
+    /// The counters.
     pub fn counts(&self) -> &Counts {
         &self.counts
     }
 
-    /// The keys that it goes by.
+    /// The keys that authenticate datagrams.
     pub fn keys(&self) -> &Keys {
         &self.config.keys
     }
 
-    /// Another set of peers, as on a reload; what is known of those that stay is kept.
+    /// Replaces the list of peers, as on a reload. The state of those that stay is kept.
     pub fn replace(&mut self, peers: Vec<Peer>) {
         self.members.replace(peers.iter().copied());
         let members = &self.members;
         self.lines.retain(|peer, _| members.has(*peer));
     }
 
-    /// Takes a datagram, and hands what it says to the channels.
+    /// Receives a datagram and dispatches its frames to the channels.
     ///
     /// # Errors
-    /// Why it has no effect; it is counted and nothing else.
+    /// Why it has no effect; it is only counted.
     pub fn receive(
         &mut self, now: Micros, bytes: &[u8], channels: &mut [&mut dyn Channel],
     ) -> Result<(), NoteError> {
@@ -260,7 +264,7 @@
         true
     }
 
-    /// Datagrams to send now: what the link itself says, then each channel's in their order.
+    /// Returns the datagrams to send now: the link's own messages, then those of each channel in their order.
     pub fn poll(&mut self, now: Micros, channels: &mut [&mut dyn Channel]) -> Vec<Out> {
         let rate = f64::from(self.config.bytes_per_s);
         let most = (rate * SAVED as f64 / SECOND as f64).max(2.0 * MOST as f64);
@@ -288,12 +292,12 @@
             said.extend(says.into_iter().map(|said| (said.to, channel.id(), said.bytes)));
         }
         let out = self.pack(now, said);
-        // What a channel that is not bound sends comes first, and the others wait for it; but not for ever.
+        // Channels without a budget go first and the others make up for it, but within a limit.
         self.tokens = (self.tokens - out.iter().map(|out| out.bytes.len() as f64).sum::<f64>()).max(-most);
         out
     }
 
-    /// Asks who says nothing. One that is doubted hears of it, so that it can say otherwise.
+    /// Pings silent peers. A suspect one is told of the suspicion, so that it can refute it.
     fn look(&mut self, now: Micros) {
         for peer in self.members.ask(now) {
             if let Some((incarnation, standing)) = self.members.doubted(peer) {
@@ -303,7 +307,7 @@
         }
     }
 
-    /// Puts frames into notes, as many to one as it has room for.
+    /// Packs frames into as few datagrams as they fit in, in their order.
     fn pack(&mut self, now: Micros, said: Vec<(Peer, u8, Vec<u8>)>) -> Vec<Out> {
         let mut by_peer: BTreeMap<Peer, Vec<Frames>> = BTreeMap::new();
         let room = note::room(&self.config.keys);
@@ -330,7 +334,7 @@
         out
     }
 
-    /// When [`Link::poll`] has something to do next.
+    /// When [`Link::poll`] next has something to do.
     pub fn next_at(&self, now: Micros, channels: &[&mut dyn Channel]) -> Micros {
         let missing = (MOST as f64 - self.tokens).max(0.0);
         let full = missing / f64::from(self.config.bytes_per_s.max(1)) * SECOND as f64;
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -1,9 +1,11 @@
-//! Who is there, by notes alone: a peer that does not answer is suspected, says otherwise or is gone, and comes
-//! back with a new incarnation (SWIM's suspicion, incarnation and refutation). Owns the list of peers. It must
-//! never take a peer for gone on one lost note.
+//! Membership: which relays are alive, suspect or dead (`Gone`), from datagrams alone.
 //!
-//! The `foca` crate does this well, and was left aside for its wire: it owns the datagram, where facts, members
-//! and a MAC have to share 256 bytes, and its probes cost a note each where any note with a fact shows as much.
+//! A peer that does not answer is suspected; it refutes the suspicion or is declared dead, and comes back with a new
+//! incarnation (SWIM's suspicion, incarnation and refutation). One lost datagram never makes a peer dead.
+//!
+//! The `foca` crate does this well, but its wire format does not fit: it owns the datagram, where observations,
+//! membership and a MAC have to share 256 bytes, and each of its probes costs a datagram, where any datagram shows
+//! that its sender is alive.
 
 use std::collections::BTreeMap;
 
@@ -11,42 +13,42 @@
 
 use crate::{Micros, Peer, SECOND};
 
-/// So many peers are asked at once; the others at the next look.
+/// Maximum number of peers pinged at once; the others are pinged at the next check.
 const ASKED_AT_ONCE: usize = 8;
-/// A peer that said nothing for so long is asked.
+/// Time of silence after which a peer is pinged, in microseconds.
 pub const QUIET: Micros = 2 * SECOND;
-/// One that was asked and said nothing for so long is suspected; and asked again.
+/// Time without an answer to a ping after which a peer is suspected and pinged again, in microseconds.
 pub const UNANSWERED: Micros = SECOND;
-/// One that was suspected for so long is gone.
+/// Time of suspicion after which a peer is declared dead, in microseconds.
 pub const SUSPECTED: Micros = 3 * SECOND;
 
-/// Where a peer stands.
+/// The state of a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Standing {
-    /// It was heard from.
+    /// It has been heard.
     Alive,
-    /// It did not answer; it may say otherwise.
+    /// It did not answer a ping, and may refute the suspicion.
     Suspect,
-    /// It did not answer for long.
+    /// It is declared dead: it did not refute the suspicion in time.
     Gone,
 }
 
-/// A peer.
+/// What is known of a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Member {
-    /// Its incarnation, as far as heard; 0 where it never was.
+    /// Its latest known incarnation; 0 where it was never heard.
     pub incarnation: u32,
-    /// Where it stands.
+    /// Its state.
     pub standing: Standing,
-    /// When it was last heard from, by itself.
+    /// When a datagram of its own last arrived.
     pub heard: Option<Micros>,
-    /// When it was asked and has not answered since.
+    /// When it was last pinged, if it has not answered since.
     asked: Option<Micros>,
-    /// Since when it is suspected.
+    /// When the suspicion began.
     suspected: Option<Micros>,
 }
 
-/// All peers of the tier but this one.
+/// All relays of the fleet but this one.
 #[derive(Clone, Debug)]
 pub struct Members {
     me: Peer,
@@ -55,14 +57,14 @@
 }
 
 impl Members {
-    /// Peers of whom nothing is known yet but that they are listed.
+    /// Creates the membership from a list of peers, all taken for alive.
     pub fn new(me: Peer, incarnation: u32, peers: impl IntoIterator<Item = Peer>) -> Self {
         let mut members = Members { me, incarnation, all: BTreeMap::new() };
         members.replace(peers);
         members
     }
 
-    /// Another list of peers, as on a reload; what is known of those that stay is kept.
+    /// Replaces the list of peers, as on a reload. The state of those that stay is kept.
     pub fn replace(&mut self, peers: impl IntoIterator<Item = Peer>) {
         let fresh =
             Member { incarnation: 0, standing: Standing::Alive, heard: None, asked: None, suspected: None };
@@ -71,28 +73,28 @@
         self.all = named.map(|peer| (peer, self.all.get(&peer).copied().unwrap_or(fresh))).collect();
     }
 
-    /// Whether a peer is of the tier.
+    /// Whether a peer is in the list.
     pub fn has(&self, peer: Peer) -> bool {
         self.all.contains_key(&peer)
     }
 
-    /// All, with where they stand.
+    /// All peers with their states.
     pub fn all(&self) -> impl Iterator<Item = (Peer, Member)> + '_ {
         self.all.iter().map(|(peer, member)| (*peer, *member))
     }
 
-    /// Peers that are not gone.
+    /// Peers that are not dead.
     pub fn present(&self) -> Vec<Peer> {
         let present = self.all.iter().filter(|(_, member)| member.standing != Standing::Gone);
         present.map(|(peer, _)| *peer).collect()
     }
 
-    /// This relay's incarnation: raised where somebody said that it is not there.
+    /// This relay's incarnation, which is raised to refute a suspicion.
     pub fn incarnation(&self) -> u32 {
         self.incarnation
     }
 
-    /// A peer said something itself.
+    /// A datagram of a peer's own has arrived.
     pub fn heard(&mut self, now: Micros, peer: Peer, incarnation: u32) {
         if let Some(member) = self.all.get_mut(&peer).filter(|member| incarnation >= member.incarnation) {
             *member = Member {
@@ -105,7 +107,8 @@
         }
     }
 
-    /// Somebody says where a peer stands; tells whether this relay has to say otherwise of itself.
+    /// Another relay reports the state of a peer. Returns whether the report concerns this relay itself and has to be
+    /// refuted.
     pub fn told(&mut self, now: Micros, peer: Peer, incarnation: u32, standing: Standing) -> bool {
         if peer == self.me {
             let wrong = standing != Standing::Alive && incarnation >= self.incarnation;
@@ -115,7 +118,7 @@
             return wrong;
         }
         let Some(member) = self.all.get_mut(&peer) else { return false };
-        // What this relay heard of it itself lately, hearsay of the same incarnation does not undo.
+        // Reports about the same incarnation do not override what this relay heard itself a short time ago.
         let fresh = member.heard.is_some_and(|heard| now - heard < QUIET);
         let newer = incarnation > member.incarnation;
         let worse = incarnation == member.incarnation && standing != Standing::Alive && !fresh;
@@ -129,14 +132,14 @@
         false
     }
 
-    /// Where a peer stands and its incarnation, for those who are to hear of it: anything but alive.
+    /// The incarnation and state of a peer that is not alive, as they are reported to others.
     pub fn doubted(&self, peer: Peer) -> Option<(u32, Standing)> {
         let member = self.all.get(&peer).filter(|member| member.standing != Standing::Alive)?;
         Some((member.incarnation, member.standing))
     }
 
-    /// Whom to ask whether they are there, now; moves on who did not answer. Who is gone is asked now and then. Among many
-    /// only some are asked at each look, so that a large fleet does not speak of nothing else.
+    /// Returns the peers to ping now, and updates the states of those that did not answer. Dead peers are pinged at a
+    /// longer interval. The number is limited, so that pings do not fill the budget of a large fleet.
     pub fn ask(&mut self, now: Micros) -> Vec<Peer> {
         let mut asked: Vec<Peer> = Vec::new();
         for (peer, member) in &mut self.all {
--- a/crates/fleet/src/note.rs
+++ b/crates/fleet/src/note.rs
@@ -1,10 +1,11 @@
-//! The wire: a note of at most 256 bytes. Owns its layout and the guard against notes that come again. It must never
-//! panic, nor allocate beyond a note's length, on whatever comes.
+//! The wire format: a datagram (note) of at most 256 bytes, and the protection against replayed ones.
+//!
+//! Arbitrary input neither panics nor allocates more than a datagram's length.
 //!
 //! ```text
 //!     byte 0      version, 3 (1 and 2 are those of earlier builds)
 //!     byte 1      key id, 0 where there is no MAC
-//!     then        sender (varint), its start (4 bytes), the note's number (varint), when it was sent (4 bytes: the
+//!     then        sender (varint), its start (4 bytes), its number (varint), when it was sent (4 bytes: the
 //!                 sender's clock in milliseconds, counted around)
 //!     then frames channel, length, bytes; a channel that is not known is skipped by its length
 //!     last 12     HMAC-SHA256 over all before, cut short, where there is a key
@@ -15,85 +16,85 @@
 use crate::keys::Keys;
 use crate::{Micros, Peer};
 
-/// A note has at most so many bytes.
+/// Maximum length of a datagram, in bytes.
 pub const MOST: usize = 256;
-/// This build's version.
+/// Version of the wire format of this build.
 pub const VERSION: u8 = 3;
-/// What the head takes at the most: version and key, sender, start, number, time.
+/// Maximum length of the head, in bytes: version and key, sender, start, number, time.
 const HEAD: usize = 2 + 3 + 4 + 5 + 4;
-/// What a frame takes beside its bytes.
+/// Overhead of a frame, in bytes: its channel and length.
 pub const FRAME: usize = 2;
-/// Numbers remembered behind the newest of a sender.
+/// Number of datagrams, up to a sender's newest, for which it is remembered whether they arrived.
 const WINDOW: u32 = 64;
 
-/// Why a note has no effect.
+/// Why a datagram has no effect.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, thiserror::Error)]
 pub enum NoteError {
-    /// It is shorter than a head, longer than a note may be, or a frame ends beyond it.
+    /// It is shorter than a head, longer than [`MOST`], or a frame ends beyond it.
     #[error("malformed")]
     Malformed,
     /// It has another version.
     #[error("version {0}")]
     Version(u8),
-    /// It names a key that is not known, or none where one is needed.
+    /// It names an unknown key, or none where one is required.
     #[error("key {0} is not known")]
     UnknownKey(u8),
     /// Its MAC is wrong.
     #[error("the MAC is wrong")]
     Forged,
-    /// Its sender is nobody of the fleet, or this relay itself.
+    /// Its sender is not in the fleet, or is this relay itself.
     #[error("of nobody in the fleet")]
     Stranger,
-    /// It came before, or is of an incarnation that is over.
+    /// It arrived before, or is of an earlier incarnation.
     #[error("a note that is over")]
     Replayed,
-    /// It is too old to say anything.
+    /// It was delayed for too long.
     #[error("too late")]
     TooLate,
-    /// Its sender sends more than any relay has to say.
+    /// Its sender exceeds the rate limit.
     #[error("one of a flood")]
     Flood,
 }
 
-/// When a note was sent: a relay's clock in milliseconds, counted around every 49 days, so that no freeze that a relay may
-/// come out of makes an old note young.
+/// When a datagram was sent: the sender's clock in milliseconds, which wraps every 49 days. No process that pauses for
+/// less than that takes an old datagram for a new one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Stamp(pub u32);
 
 impl Stamp {
-    /// The stamp of a moment.
+    /// The stamp of a time.
     pub fn of(at: Micros) -> Self {
         Stamp(at.div_euclid(1000).rem_euclid(1 << 32) as u32)
     }
 
-    /// The time from this stamp to `now`, of the same clock, if it lies within the last 49 days.
+    /// Time from this stamp to `now` of the same clock, in microseconds, if the stamp is of the last 49 days.
     pub fn age(self, now: Micros) -> Micros {
         Micros::from(Stamp::of(now).0.wrapping_sub(self.0)) * 1000
     }
 }
 
-/// Who sent a note, and when.
+/// The head of a datagram.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Head {
     /// The sender.
     pub from: Peer,
-    /// Its start, a number that grows from one start to the next.
+    /// The sender's incarnation, which grows from one start to the next.
     pub incarnation: u32,
-    /// The note's number since then.
+    /// The datagram's number since that start.
     pub number: u32,
-    /// When it was sent, by its clock.
+    /// When it was sent, by the sender's clock.
     pub sent: Stamp,
 }
 
-/// A note that came: its head, and its frames by channel.
+/// A datagram that was opened: its head, and its frames with their channels.
 pub type Note<'a> = (Head, Vec<(u8, &'a [u8])>);
 
-/// Bytes that frames may have in a note, their channels and lengths included.
+/// Room for frames in a datagram, in bytes, including their overhead ([`FRAME`]).
 pub fn room(keys: &Keys) -> usize {
     MOST - HEAD - keys.mac_len()
 }
 
-/// A note of frames, which have [`room`] together.
+/// Encodes and signs a datagram. `None` where the frames exceed the [`room`].
 pub fn seal(keys: &Keys, head: &Head, frames: &[(u8, Vec<u8>)]) -> Option<Vec<u8>> {
     let mut out = vec![VERSION, keys.first_id()];
     let (start, sent) = (head.incarnation.to_be_bytes(), head.sent.0.to_be_bytes());
@@ -106,10 +107,10 @@
     (out.len() <= MOST).then_some(out)
 }
 
-/// Reads a note.
+/// Verifies and decodes a datagram. Whether it is a replay is up to [`Replay`].
 ///
 /// # Errors
-/// Why it has no effect. Whether it came before is [`Replay`]'s to tell.
+/// Why it has no effect.
 pub fn open<'a>(keys: &Keys, bytes: &'a [u8]) -> Result<Note<'a>, NoteError> {
     let (version, id) = match bytes {
         [version, id, ..] if bytes.len() <= MOST => (*version, *id),
@@ -134,20 +135,20 @@
     Ok((Head { from, incarnation, number, sent }, frames))
 }
 
-/// The guard against notes of one sender that come again, or from before its restart.
+/// Replay protection for one sender: rejects duplicates, and datagrams of earlier incarnations.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Replay {
     incarnation: u32,
     newest: u32,
-    /// Bit n: `newest - n` came.
+    /// Bit n is set where the datagram `newest - n` has arrived.
     seen: u64,
 }
 
 impl Replay {
-    /// Takes a note of that start and number.
+    /// Accepts a datagram of this incarnation and number.
     ///
     /// # Errors
-    /// Where the note has no effect any more.
+    /// Where it is a replay.
     pub fn take(&mut self, incarnation: u32, number: u32) -> Result<(), NoteError> {
         if incarnation > self.incarnation {
             *self = Replay { incarnation, newest: number, seen: 1 };
--- a/crates/permits/src/node/grants.rs
+++ b/crates/permits/src/node/grants.rs
@@ -8,7 +8,8 @@
 
 use super::{Given, Node, ONCE_MORE, SAID_AGAIN};
 
-/// A permit that was delayed for longer than this is not used, in microseconds: the steward may give its call once more.
+/// A permit that was delayed for longer than this, in microseconds, is not used: the steward may give its call once
+/// more.
 pub(super) const LATE: Micros = VOID / 2;
 /// Unit in which a permit's age is told, in microseconds.
 pub(super) const AGE_STEP: Micros = 4000;
--- a/crates/permits/src/node/mod.rs
+++ b/crates/permits/src/node/mod.rs
@@ -218,8 +218,8 @@
         self.config.sharing == Sharing::Parts
     }
 
-    /// The state of a destination, created where there is none. A part that an earlier process lent comes back one lease
-    /// after the start.
+    /// The state of a destination, created where there is none. A part that an earlier process lent comes back one
+    /// lease after the start.
     fn asking(&mut self, destination: i64) -> &mut Asking {
         let part = Part::starting(self.started, self.terms.lease);
         self.asking.entry(destination).or_insert_with(|| Asking::starting(part))
