--- a/crates/scale/src/command/mod.rs
+++ b/crates/scale/src/command/mod.rs
@@ -1,5 +1,6 @@
 //! The commands of the binary.
 
+pub mod days;
 pub mod page;
 pub mod point;
 pub mod report;
--- a/crates/scale/src/command/slopes.rs
+++ b/crates/scale/src/command/slopes.rs
@@ -103,7 +103,7 @@
 }
 
 /// The commit of the folder that the command runs in, as far as git tells.
-fn commit() -> String {
+pub(super) fn commit() -> String {
     let ask = || -> anyhow::Result<String> {
         let output = Command::new("git").args(["rev-parse", "--short", "HEAD"]).output()?;
         let text = String::from_utf8(output.stdout).context("the answer of git")?;
--- a/crates/scale/src/main.rs
+++ b/crates/scale/src/main.rs
@@ -36,6 +36,8 @@
     Point(command::point::PointArgs),
     /// Distributes configuration changes to many relays, and prints what that measured.
     Rollout(command::rollout::RolloutArgs),
+    /// Runs days on which something fails or much changes at once, and prints how long until all is as before.
+    Days(command::days::DaysArgs),
 }
 
 fn main() -> ExitCode {
@@ -46,6 +48,7 @@
         Command::Report(args) => command::report::report(&args),
         Command::Point(args) => command::point::point(&args),
         Command::Rollout(args) => command::rollout::run(&args),
+        Command::Days(args) => command::days::days(&args),
     };
     outcome.unwrap_or_else(|error| {
         eprintln!("scale: {error:#}");
--- a/crates/scale/src/random.rs
+++ b/crates/scale/src/random.rs
@@ -22,6 +22,8 @@
     Changes,
     /// How long destinations take to answer.
     Answers,
+    /// Which machines a one-off event hits.
+    Targets,
 }
 
 /// The draws of a purpose in a run of that seed.
--- a/crates/scale/src/rollout_run.rs
+++ b/crates/scale/src/rollout_run.rs
@@ -8,6 +8,7 @@
 mod author;
 mod check;
 mod cost;
+pub mod days;
 mod machine;
 pub mod one_relay;
 mod result;
--- a/crates/scale/src/rollout_run/check.rs
+++ b/crates/scale/src/rollout_run/check.rs
@@ -76,6 +76,12 @@
         self.published.last_key_value().map_or(self.base.0, |(version, _)| *version)
     }
 
+    /// When the oldest change that a machine of that version lacks was proposed.
+    pub(super) fn lacking_since(&self, version: Version) -> Option<Micros> {
+        let newer = self.published.range((std::ops::Bound::Excluded(version), std::ops::Bound::Unbounded));
+        newer.map(|(_, proposed)| proposed.at).next()
+    }
+
     /// How many changes were committed.
     pub(super) fn changes(&self) -> u64 {
         self.published.len() as u64
--- a/crates/scale/src/rollout_run/simulation.rs
+++ b/crates/scale/src/rollout_run/simulation.rs
@@ -1,5 +1,7 @@
 //! The loop of a run: takes events in the order of their time, and calls each machine when its shell would.
 
+mod day;
+
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -64,6 +66,8 @@
     ControlFailure(Peer),
     /// The cut of that number ends.
     Healed,
+    /// A step of a day with a one-off event.
+    Day(day::Step),
 }
 
 /// A machine of the run.
@@ -117,6 +121,7 @@
     pub(super) measured_from: Micros,
     until: Micros,
     pub(super) began: Instant,
+    pub(super) day: Option<day::Watch>,
 }
 
 impl<'a> Simulation<'a> {
@@ -172,6 +177,7 @@
             measured_from,
             until,
             began: Instant::now(),
+            day: None,
             scenario,
         };
         simulation.plan();
@@ -216,6 +222,9 @@
             let mut events = 0u64;
             while let Some((now, event)) = self.queue.pop_until(until) {
                 self.happens(now, event);
+                if self.is_day_over() {
+                    return true;
+                }
                 events += 1;
                 if events.is_multiple_of(LOOK_EVERY) {
                     progress.reached(in_seconds(now - START) / in_seconds(self.until - START), step);
@@ -281,6 +290,7 @@
                 let away = seconds(self.scenario.failures.repair_s);
                 self.stop(now, peer, away);
             }
+            Event::Day(step) => self.day_step(now, step),
             Event::Healed => self.heals.push(Heal { at: now, target: self.check.newest() }),
         }
     }
--- a/crates/scale/src/scenario/file.rs
+++ b/crates/scale/src/scenario/file.rs
@@ -45,17 +45,17 @@
 
 /// A value that makes no sense, by its key.
 #[derive(Debug)]
-pub(super) struct Wrong {
+pub(crate) struct Wrong {
     key: String,
     why: String,
 }
 
 impl Wrong {
-    pub(super) fn outside_a_file(self) -> ScenarioError {
+    pub(crate) fn outside_a_file(self) -> ScenarioError {
         ScenarioError::Value { key: self.key, why: self.why }
     }
 
-    fn in_file(self, file: &str, text: &str) -> ScenarioError {
+    pub(crate) fn in_file(self, file: &str, text: &str) -> ScenarioError {
         let offset = DeTable::parse(text).ok().and_then(|table| offset_of(table.get_ref(), &self.key));
         let line = line_of(text, offset.unwrap_or(0));
         ScenarioError::Key { file: file.into(), line, key: self.key, why: self.why }
@@ -396,11 +396,11 @@
     spans.into_iter().try_for_each(|(key, value)| not_negative(key, value))
 }
 
-fn wrong(key: String, why: String) -> Wrong {
+pub(crate) fn wrong(key: String, why: String) -> Wrong {
     Wrong { key, why }
 }
 
-fn counted(key: &str, value: u32, most: u32) -> Result<(), Wrong> {
+pub(crate) fn counted(key: &str, value: u32, most: u32) -> Result<(), Wrong> {
     if (1..=most).contains(&value) {
         return Ok(());
     }
@@ -414,14 +414,14 @@
     Err(wrong(key.into(), format!("is {value}, expected a share from 0 to 1")))
 }
 
-fn positive(key: &str, value: f64) -> Result<(), Wrong> {
+pub(crate) fn positive(key: &str, value: f64) -> Result<(), Wrong> {
     if value.is_finite() && value > 0.0 {
         return Ok(());
     }
     Err(wrong(key.into(), format!("is {value}, expected a number over 0")))
 }
 
-fn not_negative(key: &str, value: f64) -> Result<(), Wrong> {
+pub(crate) fn not_negative(key: &str, value: f64) -> Result<(), Wrong> {
     if value.is_finite() && value >= 0.0 {
         return Ok(());
     }
@@ -439,7 +439,7 @@
 // ---- where in the file ----
 
 /// An error of the reader: a key that is not known or missing, a wrong type, or text that is no TOML.
-fn not_understood(error: &toml::de::Error, text: &str, file: &str) -> ScenarioError {
+pub(crate) fn not_understood(error: &toml::de::Error, text: &str, file: &str) -> ScenarioError {
     let offset = error.span().map_or(0, |span| span.start);
     let line = line_of(text, offset);
     let named = error.message().split('`').nth(1).filter(|_| error.message().contains("field"));
--- a/crates/scale/src/scenario/mod.rs
+++ b/crates/scale/src/scenario/mod.rs
@@ -3,7 +3,7 @@
 //! A scenario is read from a TOML file ([`file`]). It may be changed in code, as by who measures at many sizes; then
 //! [`Scenario::check`] tells whether it still makes sense.
 
-mod file;
+pub(crate) mod file;
 
 use serde::{Deserialize, Serialize};
 
