Run a control machine as a process: tulipfall-control

The state of a control machine needs a disk, connections and a clock. The shell writes and syncs the records of the consensus before it sends, signs frames between control machines by a key that follows from the cluster's, publishes to relays through the link and the rollout, and answers operators a JSON object a line.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,13 +4,14 @@
 //! change, its digests and its signature, without I/O and without a clock, so that every control machine derives the same
 //! bytes. [`Machine`] puts the state and the consensus together.
 //!
-//! Modules depend one way: `proposal`, `outcome` ← `history` ← `state` ← `snapshot` ← `machine`.
+//! Modules depend one way: `proposal`, `outcome` ← `history` ← `state` ← `snapshot` ← `machine` ← [`shell`], which has all I/O.
 #![forbid(unsafe_code)]
 
 mod history;
 mod machine;
 mod outcome;
 mod proposal;
+pub mod shell;
 mod snapshot;
 mod state;
 
