Link the documentation of the scale harness to the function run

The name stands for a function and for its module, which rustdoc refuses where warnings are errors. It names the function now, and the documentation builds.

--- a/crates/scale/src/lib.rs
+++ b/crates/scale/src/lib.rs
@@ -2,7 +2,7 @@
 //! cost.
 //!
 //! The relays are hollow. Each runs the very code of the cores (`fleet`, `permits`, `peers`, `turns`); only sockets, disk, clock
-//! and the work of destinations are simulated. [`scenario`] says what to run, [`run`] runs it, [`measurement`] is what comes
+//! and the work of destinations are simulated. [`scenario`] says what to run, [`run()`] runs it, [`measurement`] is what comes
 //! out. [`network`], [`queue`] and [`random`] know nothing of the cores and serve other simulations as well.
 #![forbid(unsafe_code)]
 
