Keep the modules of subscriptions private, and drop what nothing uses

Only the node, its configuration, status and counts, the topology and the messages are for others; the constants and types that they need are exported by the crate.

--- a/crates/rollout/src/jitter.rs
+++ b/crates/rollout/src/jitter.rs
@@ -18,11 +18,6 @@
         span - span / 10 + (self.next() % width) as Micros
     }
 
-    /// A span from 0 up to the given one, in microseconds.
-    pub fn within(&mut self, span: Micros) -> Micros {
-        (self.next() % span.max(1).unsigned_abs()) as Micros
-    }
-
     fn next(&mut self) -> u64 {
         self.0 = self.0.wrapping_add(0x9E37_79B9_7F4A_7C15);
         let mixed = (self.0 ^ (self.0 >> 30)).wrapping_mul(0xBF58_476D_1CE4_E5B9);
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -1,10 +1,10 @@
 //! Distribution of numbered changes from the control machines to every relay.
 //!
 //! [`topology`] fixes the order of machines and each relay's candidates for an upstream. A relay keeps leased
-//! subscriptions at two of them ([`subscription`], [`subscribers`]), to which new changes are pushed at once ([`push`]).
-//! Who lags behind asks for the changes that it lacks ([`catch_up`], [`change_serve`]); where those are compacted away,
-//! for the buckets of a snapshot in which it differs ([`snapshot_fetch`], [`snapshot_serve`]). The [`replica`] applies
-//! nothing that was not verified. [`node`] puts these together as a channel of the link.
+//! subscriptions at two of them (`subscription`, `subscribers`), to which new changes are pushed at once (`push`).
+//! Who lags behind asks for the changes that it lacks (`catch_up`, `change_serve`); where those are compacted away,
+//! for the buckets of a snapshot in which it differs (`snapshot_fetch`, `snapshot_serve`). The `replica` applies
+//! nothing that was not verified. [`Node`] puts these together as a channel of the link, whose messages are in [`message`].
 //!
 //! State machines without I/O: messages and the time go in, messages come out; the same seed yields the same run.
 //!
@@ -18,18 +18,20 @@
 mod error;
 mod jitter;
 pub mod message;
-pub mod node;
+mod node;
 mod push;
 mod reassembly;
 mod replica;
 mod snapshot_fetch;
 mod snapshot_serve;
-pub mod subscribers;
-pub mod subscription;
+mod subscribers;
+mod subscription;
 pub mod topology;
 
 pub use error::{Counts, Kind, RolloutError};
 pub use fleet::{Micros, Peer, SECOND};
-pub use node::{Config, Node, Status};
+pub use node::{Config, LOG_LIMITS, Node, SERVE_BYTES_PER_S, Status};
 pub use reassembly::FragmentError;
 pub use snapshot_fetch::Progress;
+pub use subscribers::MOST_SUBSCRIBERS;
+pub use subscription::Upstream;
--- a/crates/rollout/src/node.rs
+++ b/crates/rollout/src/node.rs
@@ -191,7 +191,7 @@
                 Ok(())
             }
             Message::Advert { answers, advert } => self.on_advert(now, from, answers, advert),
-            Message::Refused { answers, why } => match self.subscriptions.refused(now, from, answers, why) {
+            Message::Refused { answers, .. } => match self.subscriptions.refused(now, from, answers) {
                 Answer::Current => Ok(()),
                 Answer::Unasked => Err(RolloutError::Unasked(from)),
             },
--- a/crates/rollout/src/subscription.rs
+++ b/crates/rollout/src/subscription.rs
@@ -9,7 +9,7 @@
 use fleet::{Micros, Peer, SECOND};
 
 use crate::jitter::Jitter;
-use crate::message::{Advert, Message, Refusal};
+use crate::message::{Advert, Message};
 use destinations::Version;
 
 /// Subscriptions that a relay keeps: the primary and the backup.
@@ -171,7 +171,7 @@
     }
 
     /// An upstream refused the subscription.
-    pub fn refused(&mut self, now: Micros, from: Peer, answers: u16, _why: Refusal) -> Answer {
+    pub fn refused(&mut self, now: Micros, from: Peer, answers: u16) -> Answer {
         let asked = |index: &usize| self.active.get(*index).is_some_and(|sub| sub.sent(answers).is_some());
         let Some(index) = self.position(from).filter(asked) else { return Answer::Unasked };
         let sub = self.active.remove(index);
--- a/crates/rollout/src/topology.rs
+++ b/crates/rollout/src/topology.rs
@@ -15,7 +15,7 @@
 pub const REPRESENTATIVES: usize = 3;
 /// How many times wider a level of the tree is than the one above. Each relay has two upstreams, so that a full level
 /// takes twice this many subscriptions from each relay above, and leaves a third of
-/// [`MOST_SUBSCRIBERS`](crate::subscribers::MOST_SUBSCRIBERS) for those whose upstream failed.
+/// [`MOST_SUBSCRIBERS`](crate::MOST_SUBSCRIBERS) for those whose upstream failed.
 pub const ARITY: usize = 8;
 /// Candidates of one kind (parents, ancestors in the own level, representatives elsewhere) in a relay's list at the most.
 /// It bounds how long a relay searches: a silent candidate costs one second.
--- a/crates/rollout/tests/distribution.rs
+++ b/crates/rollout/tests/distribution.rs
@@ -2,7 +2,7 @@
 
 mod world;
 
-use rollout::subscribers::MOST_SUBSCRIBERS;
+use rollout::MOST_SUBSCRIBERS;
 use rollout::{Micros, SECOND};
 use world::{Layout, World, put};
 
--- a/crates/rollout/tests/topology.rs
+++ b/crates/rollout/tests/topology.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 
 use proptest::prelude::*;
+use rollout::MOST_SUBSCRIBERS;
 use rollout::Peer;
-use rollout::subscribers::MOST_SUBSCRIBERS;
 use rollout::topology::{Machine, Place, REPRESENTATIVES, Role, Topology, TopologyError};
 
 /// `relays` relays spread over `zones` zones in `regions` regions, and a control machine in each region.
--- a/crates/rollout/tests/world/mod.rs
+++ b/crates/rollout/tests/world/mod.rs
@@ -13,7 +13,7 @@
 };
 use fleet::keys::Keys;
 use fleet::link::{self, Channel, Link};
-use rollout::subscribers::MOST_SUBSCRIBERS;
+use rollout::MOST_SUBSCRIBERS;
 use rollout::topology::{Machine, Place, Role, Topology};
 use rollout::{Config, Micros, Node, Peer, SECOND};
 
--- a/crates/scale/tests/rollout.rs
+++ b/crates/scale/tests/rollout.rs
@@ -43,7 +43,7 @@
     assert!(in_force.p999_us < 4_000_000, "{in_force:?}");
     assert_eq!((measured.equal_after_heal.count, measured.not_equal_after_heal), (1, 0));
     assert!(measured.equal_after_heal.max_us < 10_000_000, "{:?}", measured.equal_after_heal);
-    assert!(measured.most_subscribers <= rollout::subscribers::MOST_SUBSCRIBERS);
+    assert!(measured.most_subscribers <= rollout::MOST_SUBSCRIBERS);
     assert_eq!((measured.restarts, measured.failures), (4, 2));
     assert!(measured.measurement.roles.iter().all(|role| role.peak_bytes_per_s < 7000.0));
 }
