Give the scenarios of distribution a folder of their own

Every file in `scenarios` is a scenario of `scale run`, as a test there checks; those of `scale rollout` have other keys and made it fail.

--- a/crates/scale/tests/rollout.rs
+++ b/crates/scale/tests/rollout.rs
@@ -1,7 +1,7 @@
 //! The distribution of changes by control machines that agree by raft, in a small fleet: nothing that must hold is broken, and
 //! the same seed gives the same counts.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use scale::network::{Cut, CutKind, NodeSet};
 use scale::progress::Silent;
@@ -11,8 +11,11 @@
 use scale::time::SECOND;
 
 fn small() -> RolloutScenario {
-    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios/rollout-small.toml");
-    RolloutScenario::read(&file).expect("a sound scenario")
+    RolloutScenario::read(&folder().join("small.toml")).expect("a sound scenario")
+}
+
+fn folder() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("rollout-scenarios")
 }
 
 fn measured(scenario: &RolloutScenario, seed: u64) -> RolloutMeasurement {
@@ -98,6 +101,16 @@
     assert_eq!(refused(|scenario| scenario.region_of_zone = vec![]), "region_of_zone");
 }
 
+#[test]
+fn each_scenario_of_the_folder_is_read() {
+    let files = std::fs::read_dir(folder()).expect("the folder of scenarios");
+    let paths: Vec<PathBuf> = files.map(|file| file.expect("a file").path()).collect();
+    assert!(paths.len() >= 3, "{paths:?}");
+    for path in paths {
+        RolloutScenario::read(&path).unwrap_or_else(|error| panic!("{error}"));
+    }
+}
+
 #[test]
 fn one_relay_is_measured_without_a_network() {
     let measured = one_relay::measure(50, 3, 1);
