Say by the read index of Raft since when a control machine has all that is committed

Relays show how old their version may be, and that has to come from the cluster: the last message of a leader says too little, as the leader may be cut off itself. Each node now asks for the read index every second heartbeat, and confirms the time at which it asked once all up to that index was handed out; the process passes it on to the rollout.

--- a/crates/consensus/src/check.rs
+++ b/crates/consensus/src/check.rs
@@ -7,6 +7,7 @@
 
 use crate::config::NodeId;
 use crate::envelope;
+use crate::reads;
 use crate::storage::Storage;
 use crate::{MAX_MESSAGE_BYTES, MAX_SNAPSHOT_BYTES};
 
@@ -70,6 +71,7 @@
 pub(crate) fn check(node: &RawNode<Storage>, message: &Message) -> Result<(), ReceiveError> {
     check_numbers(message)?;
     match message.get_msg_type() {
+        MessageType::MsgReadIndex | MessageType::MsgReadIndexResp => check_read(message),
         MessageType::MsgAppend => check_entries(message),
         MessageType::MsgHeartbeat => check_heartbeat(node, message),
         MessageType::MsgAppendResponse => check_append_response(node, message),
@@ -85,7 +87,9 @@
 
 fn check_numbers(message: &Message) -> Result<(), ReceiveError> {
     let numbers = [message.term, message.log_term, message.index, message.commit, message.reject_hint];
-    if message.term == 0 || numbers.iter().any(|number| *number > MAX_NUMBER) {
+    // Requests for the read index go to the leader of whatever term.
+    let has_term = message.term > 0 || message.get_msg_type() == MessageType::MsgReadIndex;
+    if !has_term || numbers.iter().any(|number| *number > MAX_NUMBER) {
         return Err(ReceiveError::Number);
     }
     // Nodes ask for no snapshots, and none has a priority over others.
@@ -95,6 +99,14 @@
     Ok(())
 }
 
+/// A request for the read index, or its answer, bears the request's name as its one entry.
+fn check_read(message: &Message) -> Result<(), ReceiveError> {
+    match message.get_entries() {
+        [name] if name.data.len() == reads::CONTEXT_BYTES => Ok(()),
+        _ => Err(ReceiveError::Entries),
+    }
+}
+
 fn check_entries(message: &Message) -> Result<(), ReceiveError> {
     let (mut index, mut term) = (message.index, message.log_term);
     for entry in message.get_entries() {
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -9,7 +9,7 @@
 //!                                             1. write and fsync   2. send   3. apply
 //! ```
 //!
-//! Modules depend one way: `config`, `record` ← `persisted` ← `storage` ← `check`, `contact`, `envelope`, `snapshots` ← `node`.
+//! Modules depend one way: `config`, `record` ← `persisted` ← `storage` ← `check`, `contact`, `envelope`, `reads`, `snapshots` ← `node`.
 #![forbid(unsafe_code)]
 
 mod check;
@@ -18,6 +18,7 @@
 mod envelope;
 mod node;
 mod persisted;
+mod reads;
 mod record;
 mod snapshots;
 mod storage;
--- a/crates/consensus/src/node.rs
+++ b/crates/consensus/src/node.rs
@@ -11,6 +11,7 @@
 use crate::contact::Contact;
 use crate::envelope;
 use crate::persisted::{Persisted, RecordError};
+use crate::reads::Reads;
 use crate::record::{Entry, Record, Snapshot};
 use crate::snapshots::Snapshots;
 use crate::storage::{self, Storage};
@@ -26,6 +27,8 @@
 const MAX_COMMITTED_BYTES: u64 = 4 * 1024 * 1024;
 /// A snapshot that is not acknowledged within so many election timeouts is sent again.
 const SNAPSHOT_PATIENCE: Micros = 3;
+/// A node asks once in so many heartbeats whether it has all that is committed.
+const HEARTBEATS_PER_READ: Micros = 2;
 
 /// What the shell has to do now, in this order:
 ///
@@ -138,6 +141,7 @@
     /// The last index that was handed out.
     applied: u64,
     contact: Contact,
+    reads: Reads,
     snapshots: Snapshots,
     counts: Counts,
 }
@@ -164,6 +168,8 @@
         persisted.check()?;
         let snapshot = persisted.snapshot().clone();
         let applied = snapshot.index;
+        let read_every_us = ticks_us(&config, config.heartbeat_ticks).saturating_mul(HEARTBEATS_PER_READ);
+        let reads = Reads::new(config.id, read_every_us);
         let storage = Storage::new(persisted, &config.voters);
         let logger = slog::Logger::root(slog::Discard, slog::o!());
         let node = RawNode::new(&raft_config(&config, applied), storage, &logger)?;
@@ -176,6 +182,7 @@
             restore: Some(snapshot).filter(|snapshot| snapshot.index > 0),
             applied,
             contact: Contact::default(),
+            reads,
             snapshots: Snapshots::default(),
             counts: Counts::default(),
         })
@@ -225,6 +232,7 @@
     pub fn poll(&mut self, now_us: Micros) -> Ready {
         self.settle();
         self.tick(now_us);
+        self.reads.ask(now_us, &mut self.node);
         self.snapshots.give_up(now_us, self.snapshot_patience_us(), &mut self.node);
         let mut ready = Ready { persist: std::mem::take(&mut self.queued), ..Ready::default() };
         ready.restore = self.restore.take();
@@ -294,8 +302,14 @@
         &self.counts
     }
 
-    /// For how long no quorum was heard, in microseconds: an upper bound of how old this node's view of the log is, but
-    /// for the time that messages are under way.
+    /// A time of the shell's clock: all that the cluster had committed at that moment was handed out by now. It says how
+    /// old this node's view of the log may be. `None` before the first such moment since the start.
+    pub fn confirmed_us(&self) -> Option<Micros> {
+        self.reads.confirmed_us()
+    }
+
+    /// For how long no quorum was heard, in microseconds, for the eyes of operators; [`Consensus::confirmed_us`] is the
+    /// one that promises something.
     ///
     /// A leader counts from when the last of a majority was heard. A follower counts from its leader's last message,
     /// and the leader may itself have been without a majority for up to an election timeout then. `None` without a
@@ -322,6 +336,10 @@
         }
         let message = check::decode(self.config.id, from, bytes)?;
         check::check(&self.node, &message)?;
+        if message.get_msg_type() == MessageType::MsgReadIndex && !self.is_leader() {
+            // raft-rs would pass it on in the name of the sender; the sender asks the new leader soon.
+            return Ok(());
+        }
         let term = message.term;
         self.node.step(message).map_err(|_| ReceiveError::Refused)?;
         if term == self.term() {
@@ -358,6 +376,8 @@
                 out.committed.push(storage::entry_from_raft(&entry));
             }
         }
+        self.reads.answered(now_us, ready.read_states());
+        self.reads.applied(self.applied);
         let messages = ready.take_messages().into_iter().chain(ready.take_persisted_messages());
         let messages: Vec<eraftpb::Message> = messages.collect();
         out.messages.extend(messages.iter().filter_map(|message| self.encode(now_us, message)));
@@ -396,11 +416,15 @@
     }
 
     fn snapshot_patience_us(&self) -> Micros {
-        let ticks = Micros::try_from(self.config.election_ticks).unwrap_or(Micros::MAX);
-        ticks.saturating_mul(self.config.tick_us).saturating_mul(SNAPSHOT_PATIENCE)
+        ticks_us(&self.config, self.config.election_ticks).saturating_mul(SNAPSHOT_PATIENCE)
     }
 }
 
+/// So many ticks in microseconds.
+fn ticks_us(config: &Config, ticks: usize) -> Micros {
+    Micros::try_from(ticks).unwrap_or(Micros::MAX).saturating_mul(config.tick_us)
+}
+
 /// The records of a ready, in an order in which every prefix is a state to start from: what is committed comes last.
 fn records_of(ready: &raft::Ready) -> Vec<Record> {
     let mut records = Vec::new();
--- a/crates/consensus/tests/simulated/cluster.rs
+++ b/crates/consensus/tests/simulated/cluster.rs
@@ -187,6 +187,29 @@
     assert_eq!(silence(&mut network, leader), None, "it leads no longer");
 }
 
+#[test]
+fn it_says_since_when_it_has_all_that_is_committed() {
+    let mut network = Network::new(12);
+    let leader = network.elect();
+    commit(&mut network, 0..3);
+    network.run_for(5 * SECOND);
+    let age = |network: &mut Network, id: u64| {
+        let now = network.now;
+        now - network.node(id).confirmed_us().expect("it was confirmed")
+    };
+    for id in 1..=MACHINES {
+        assert!(age(&mut network, id) < SECOND, "machine {id}: {} us", age(&mut network, id));
+    }
+    let alone = leader % MACHINES + 1;
+    network.set_alone(alone, true);
+    network.set_alone(leader, true);
+    network.run_for(60 * SECOND);
+    assert!(age(&mut network, alone) > 59 * SECOND);
+    assert!(age(&mut network, leader) > 59 * SECOND, "a leader that is cut off knows nothing newer");
+    let other = network.leader().expect("four go on");
+    assert!(age(&mut network, other) < SECOND);
+}
+
 #[test]
 fn the_same_seed_gives_the_same_trace() {
     let trace = |seed| {
--- a/crates/consensus/tests/simulated/network.rs
+++ b/crates/consensus/tests/simulated/network.rs
@@ -113,6 +113,8 @@
     /// A hash of all that happened.
     pub trace: u64,
     states: BTreeMap<u64, u64>,
+    /// When each index was first applied anywhere; both grow.
+    chosen_at: Vec<(Micros, u64)>,
     leaders: BTreeMap<u64, u64>,
     under_way: BTreeMap<(Micros, u64), Message>,
     serial: u64,
@@ -132,6 +134,7 @@
             chosen: BTreeMap::new(),
             trace: 0,
             states: BTreeMap::new(),
+            chosen_at: Vec::new(),
             leaders: BTreeMap::new(),
             under_way: BTreeMap::new(),
             serial: 0,
@@ -300,6 +303,7 @@
                 self.apply(id, entry);
             }
             self.check_leader(id);
+            self.check_confirmed(id);
         }
     }
 
@@ -338,6 +342,9 @@
         assert!(entry.index > machine.state.index, "machine {id} applies {} late or twice", entry.index);
         machine.state.apply(entry);
         let hash = machine.state.hash;
+        if !self.chosen.contains_key(&entry.index) {
+            self.chosen_at.push((self.now, entry.index));
+        }
         let chosen = self.chosen.entry(entry.index).or_insert_with(|| entry.clone());
         assert_eq!(chosen, entry, "machine {id} applies another entry");
         let first = *self.states.entry(entry.index).or_insert(hash);
@@ -354,6 +361,14 @@
         }
     }
 
+    /// What was applied anywhere before the moment that a machine confirms, it has, too.
+    fn check_confirmed(&mut self, id: u64) {
+        let Some(confirmed) = self.node(id).confirmed_us() else { return };
+        let before = self.chosen_at.iter().rev().find(|(at, _)| *at < confirmed);
+        let applied = self.machines[&id].state.index;
+        assert!(before.is_none_or(|(_, index)| *index <= applied), "machine {id} confirms what it lacks");
+    }
+
     fn note(&mut self, values: &[u64]) {
         for value in values {
             self.trace = mix(self.trace.wrapping_mul(31).wrapping_add(*value));
--- a/crates/control/src/shell/admin.rs
+++ b/crates/control/src/shell/admin.rs
@@ -107,6 +107,9 @@
     pub commit_index: u64,
     /// For how long no quorum was heard, in microseconds; see [`consensus::Consensus::quorum_silence_us`].
     pub quorum_silence_us: Option<i64>,
+    /// How long ago the set had all that the cluster had committed, in microseconds; see
+    /// [`consensus::Consensus::confirmed_us`].
+    pub age_us: Option<i64>,
     /// The version of the set.
     pub version: Version,
     /// The digest of the set, in hexadecimal digits.
--- a/crates/control/src/shell/daemon.rs
+++ b/crates/control/src/shell/daemon.rs
@@ -175,6 +175,8 @@
                 tracing::error!(%error, "a change of the cluster does not fit what was distributed");
             }
         }
+        // What was committed by then has been published above, or before.
+        self.machine.consensus().confirmed_us().into_iter().for_each(|at| self.rollout.confirm(at));
         for (id, outcome) in work.outcomes {
             let reply = reply_of(id, &outcome);
             let waiting = self.waiting.remove(&id).unwrap_or_default();
@@ -264,6 +266,7 @@
             term: consensus.term(),
             commit_index: consensus.commit_index(),
             quorum_silence_us: consensus.quorum_silence_us(now),
+            age_us: consensus.confirmed_us().map(|at| now - at),
             version: state.version(),
             digest: hex::encode(state.digest().0),
             destinations: state.set().len(),
--- a/crates/control/tests/processes/main.rs
+++ b/crates/control/tests/processes/main.rs
@@ -59,6 +59,7 @@
     let digest = cluster.wait_for_all(version(12));
     relay.wait_for(version(12), cluster.deadline());
     assert_eq!(relay.digest(), digest);
+    relay.wait_for_confirmation(cluster.deadline());
 }
 
 #[test]
