--- a/crates/scale/src/rollout_run/scenario.rs
+++ b/crates/scale/src/rollout_run/scenario.rs
@@ -18,6 +18,9 @@
     pub restarts: u32,
     /// Relays that fail, and come back with the set that they had on their disk.
     pub relay_failures: u32,
+    /// Relays that are replaced by one with an empty disk, which is away as long as one that restarts.
+    #[serde(default)]
+    pub replacements: u32,
     /// Control machines that fail, one after the other, and come back with their log.
     pub control_failures: u32,
     /// Seconds for which a machine that restarts is away.
@@ -28,7 +31,14 @@
 
 impl Default for Failures {
     fn default() -> Self {
-        Failures { restarts: 0, relay_failures: 0, control_failures: 0, restart_s: 5.0, repair_s: 600.0 }
+        Failures {
+            restarts: 0,
+            relay_failures: 0,
+            replacements: 0,
+            control_failures: 0,
+            restart_s: 5.0,
+            repair_s: 600.0,
+        }
     }
 }
 
@@ -46,7 +56,7 @@
     pub control_zones: Vec<ZoneId>,
     /// Changes that are committed.
     pub changes: u32,
-    /// Changes a day; they come one after the other, by this rate with half of the gap as jitter.
+    /// Changes a day; each comes at a random moment of a gap of its own.
     pub changes_per_day: f64,
     /// How the network carries datagrams.
     #[serde(default)]
--- a/crates/scale/src/rollout_run/simulation.rs
+++ b/crates/scale/src/rollout_run/simulation.rs
@@ -58,6 +58,8 @@
     Restart,
     /// A relay fails, drawn from all.
     RelayFailure,
+    /// A relay is replaced by one with an empty disk, drawn from all.
+    Replacement,
     /// A control machine fails.
     ControlFailure(Peer),
     /// The cut of that number ends.
@@ -192,6 +194,10 @@
             let at = self.measured_from + self.failures.random_range(0..span);
             self.queue.push(at, Event::RelayFailure);
         }
+        for _ in 0..failures.replacements {
+            let at = self.measured_from + self.failures.random_range(0..span);
+            self.queue.push(at, Event::Replacement);
+        }
         for number in 0..failures.control_failures {
             let at = self.measured_from
                 + span * Micros::from(2 * number + 1) / Micros::from(2 * failures.control_failures);
@@ -201,7 +207,7 @@
         for cut in absolute(&self.scenario.cuts, self.measured_from) {
             self.queue.push(cut.until, Event::Healed);
         }
-        self.queue.push(self.measured_from + self.scenario.gap(), Event::Change);
+        self.plan_change();
     }
 
     /// Runs to the end; whether it came there within the bound of real time.
@@ -261,6 +267,15 @@
                 let away = seconds(self.scenario.failures.repair_s);
                 self.stop_any_relay(now, away);
             }
+            Event::Replacement => {
+                self.restarts += 1;
+                let away = seconds(self.scenario.failures.restart_s);
+                if let Some(relay) = self.stop_any_relay(now, away) {
+                    let machine = &mut self.machines[usize::from(relay)];
+                    (machine.disk.set, machine.disk.newest) = (None, None);
+                    machine.version = Version::default();
+                }
+            }
             Event::ControlFailure(peer) => {
                 self.failed += 1;
                 let away = seconds(self.scenario.failures.repair_s);
@@ -292,14 +307,15 @@
         self.queue.push(now + away.max(SECOND), Event::Start(peer));
     }
 
-    fn stop_any_relay(&mut self, now: Micros, away: Micros) {
+    /// Stops a relay that is drawn from all that run.
+    fn stop_any_relay(&mut self, now: Micros, away: Micros) -> Option<Peer> {
         let relays = self.scenario.relays as usize;
         let living: Vec<usize> =
             (0..relays).filter(|relay| self.machines[*relay].process.is_some()).collect();
         let place = self.failures.random_range(0..living.len().max(1));
-        if let Some(relay) = living.get(place) {
-            self.stop(now, *relay as Peer, away);
-        }
+        let relay = living.get(place).and_then(|relay| Peer::try_from(*relay).ok())?;
+        self.stop(now, relay, away);
+        Some(relay)
     }
 
     // ---- messages ----
@@ -388,12 +404,17 @@
         }
         self.made += 1;
         self.waiting.push_back((now, author::operations(&mut self.random, self.scenario.destinations)));
-        let gap = self.scenario.gap();
-        let gap = gap / 2 + self.random.random_range(0..=gap);
-        self.queue.push(now + gap, Event::Change);
+        self.plan_change();
         self.propose(now);
     }
 
+    /// Each change comes at a random moment of a gap of its own, so that as many come as there are gaps.
+    fn plan_change(&mut self) {
+        let gap = self.scenario.gap();
+        let at = self.measured_from + gap * Micros::from(self.made) + self.random.random_range(0..=gap);
+        self.queue.push(at, Event::Change);
+    }
+
     /// Proposes the change that waits to the leader of the highest term.
     fn propose(&mut self, now: Micros) {
         let Some((_, operations)) = self.waiting.front().cloned() else { return };
@@ -457,6 +478,9 @@
         if after == before && machine.catching_up.is_none() {
             return;
         }
+        if before == Version::default() && after > before {
+            process.since = now; // A relay that holds nothing takes no part.
+        }
         process.node.take_applied();
         self.most_subscribers = self.most_subscribers.max(process.node.status(now).subscribers.len());
         machine.version = after;
@@ -466,7 +490,7 @@
         let connected = |at| since <= at && !cuts.iter().any(|cut| cuts_off(cut, network, peer, (at, now)));
         if machine.catching_up.is_some_and(|(target, _)| after >= target) {
             let began = machine.catching_up.take().map_or(now, |(_, began)| began);
-            if relay && connected(began) {
+            if relay && (before == Version::default() || connected(began)) {
                 self.caught_up.record(now - began);
             }
         }
