--- a/crates/control/src/shell/daemon.rs
+++ b/crates/control/src/shell/daemon.rs
@@ -17,7 +17,7 @@
 use crate::shell::admin::{self, Asked, Reply, Request, Status};
 use crate::shell::clock::Clock;
 use crate::shell::config::Config;
-use crate::shell::consensus_link::{self, Incoming};
+use crate::shell::consensus_link::{self, Incoming, Sender};
 use crate::shell::disk::{DiskError, LogFile};
 use crate::shell::frame::FrameKey;
 
@@ -64,7 +64,7 @@
     notes: UdpSocket,
     frame_key: FrameKey,
     /// What sends to each other control machine.
-    senders: BTreeMap<NodeId, mpsc::Sender<Vec<u8>>>,
+    senders: BTreeMap<NodeId, Sender>,
     /// Who waits for the outcome of a proposal.
     waiting: BTreeMap<ProposalId, Vec<oneshot::Sender<Reply>>>,
     /// Proposals that were given a name here.
@@ -127,7 +127,7 @@
         let address = config.me.link;
         let notes = UdpSocket::bind(address).await.map_err(|error| DaemonError::Socket(address, error))?;
         let others = config.controls.iter().filter(|(id, _)| **id != config.consensus.id);
-        let senders = others.map(|(id, other)| (*id, consensus_link::spawn_sender(other.consensus)));
+        let senders = others.map(|(id, other)| (*id, Sender::spawn(other.consensus)));
         Ok(Daemon {
             link: Link::new(link_config(&config, now), now),
             rollout: rollout_node(&config, &keys, DestinationSet::new(), None, now),
@@ -190,8 +190,7 @@
     fn send(&self, to: NodeId, message: &[u8]) {
         let frame = self.frame_key.seal(self.config.consensus.id, to, message);
         if let Some(sender) = self.senders.get(&to) {
-            // With too many waiting, this one is lost, as any may be.
-            let _ = sender.try_send(frame);
+            sender.send(frame);
         }
     }
 
