Count a waiting frame before its task can take it

The count of waiting bytes was kept after the hand-over, and held only because the tasks of the process share one thread. 26 tests of control pass.

--- a/crates/control/src/shell/consensus_link.rs
+++ b/crates/control/src/shell/consensus_link.rs
@@ -52,16 +52,14 @@
     /// Sends a frame, or drops it if too much waits.
     pub(crate) fn send(&self, frame: Vec<u8>) {
         let length = frame.len();
-        if self.waiting_bytes.load(Ordering::Relaxed) < MAX_WAITING_BYTES
-            && self.frames.try_send(frame).is_ok()
-        {
-            self.waiting_bytes.fetch_add(length, Ordering::Relaxed);
+        let waiting = self.waiting_bytes.fetch_add(length, Ordering::Relaxed);
+        if waiting >= MAX_WAITING_BYTES || self.frames.try_send(frame).is_err() {
+            self.waiting_bytes.fetch_sub(length, Ordering::Relaxed);
         }
     }
 }
 
-/// The frames that wait, as their task sees them. It runs on the same thread as [`Sender::send`], and so takes no frame
-/// before that one was counted.
+/// The frames that wait, as their task sees them.
 struct Waiting {
     frames: mpsc::Receiver<Vec<u8>>,
     bytes: Arc<AtomicUsize>,
