--- a/crates/scale/src/command/days.rs
+++ b/crates/scale/src/command/days.rs
@@ -8,7 +8,7 @@
 use comfy_table::Table;
 use comfy_table::presets::ASCII_MARKDOWN;
 use scale::rollout_run::RolloutScenario;
-use scale::rollout_run::days::{Day, DayOutcome, Phase, built_in_days, built_in_fleet, run};
+use scale::rollout_run::days::{Day, DayError, DayOutcome, Phase, built_in_days, built_in_fleet, run};
 use scale::slopes::machine::Machine;
 use serde::{Deserialize, Serialize};
 
@@ -50,18 +50,38 @@
     /// The machine and its load; simulated figures do not depend on them, real seconds do.
     machine: Machine,
     days: Vec<DayOutcome>,
+    /// Days that gave no outcome.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    without_outcome: Vec<WithoutOutcome>,
 }
 
-/// Runs the days one after the other; the exit status tells whether all was as before after each.
+/// A day that gave no outcome.
+#[derive(Debug, Serialize, Deserialize)]
+struct WithoutOutcome {
+    name: String,
+    why: String,
+}
+
+/// Runs the days one after the other; the exit status tells whether all was as before after each. A day that gives no outcome
+/// is named in the file, and keeps no other from being run.
 pub fn days(args: &DaysArgs) -> anyhow::Result<ExitCode> {
     let fleet = built_in_fleet(args.quick)?;
     let (commit, machine) = (commit(), Machine::observe());
     let days = chosen(args)?;
-    let outcomes = days.iter().map(|day| run_day(day, &fleet, args.seed)).collect::<anyhow::Result<_>>()?;
-    let file = DaysFile { command: command_line(args), seed: args.seed, commit, machine, days: outcomes };
+    let (command, seed) = (command_line(args), args.seed);
+    let mut file = DaysFile { command, seed, commit, machine, days: Vec::new(), without_outcome: Vec::new() };
+    for day in &days {
+        match run_day(day, &fleet, seed) {
+            Ok(outcome) => file.days.push(outcome),
+            Err(error) => {
+                eprintln!("scale: {error}");
+                file.without_outcome.push(WithoutOutcome { name: day.name.clone(), why: error.to_string() });
+            }
+        }
+    }
     write(args, &file)?;
     println!("{}\n{}", times(&file.days), costs(&file.days));
-    let whole = file.days.iter().all(DayOutcome::is_whole);
+    let whole = file.without_outcome.is_empty() && file.days.iter().all(DayOutcome::is_whole);
     Ok(if whole { ExitCode::SUCCESS } else { ExitCode::from(NOT_WHOLE) })
 }
 
@@ -81,10 +101,10 @@
     Ok(days)
 }
 
-fn run_day(day: &Day, fleet: &RolloutScenario, seed: u64) -> anyhow::Result<DayOutcome> {
+fn run_day(day: &Day, fleet: &RolloutScenario, seed: u64) -> Result<DayOutcome, DayError> {
     let mut bar = Bar::new();
     eprintln!("{}", day.title);
-    Ok(run(day, fleet, seed, &mut bar)?)
+    run(day, fleet, seed, &mut bar)
 }
 
 fn write(args: &DaysArgs, file: &DaysFile) -> anyhow::Result<()> {
