--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -1,19 +1,20 @@
-//! The relay in its fleet, on sockets: one socket for the link between relays, with permits of stewards, facts of peers and
-//! turns on it, a snapshot of facts and a file of turns beside the journal, and a control socket that shows all of it. Owns these sockets and
-//! that file. It must never make a message wait; what stewards and peers say reaches the module as events, and what it
-//! means is the module's to decide.
+//! The relay in its fleet, on sockets: one socket for the link between relays, with permits of stewards, facts of peers,
+//! turns and the distribution of the destination set on it, a snapshot of facts and files of turns and of the set beside
+//! the journal, and a control socket that shows all of it. Owns these sockets and files. It must never make a message
+//! wait; what stewards and peers say reaches the module as events, and what it means is the module's to decide.
 
+mod control;
 mod cuts;
+mod distribution;
 mod kept;
+mod show;
 mod snapshot;
 mod told;
 mod turning;
 
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
-use std::time::Duration;
 
 use ::fleet::keys::Keys;
 use ::fleet::link::{self, Channel, Link};
@@ -25,19 +26,21 @@
 use permits::{Sharing, earlier, node as permit};
 use repeats::node as repeat;
 use serde_json::{Value, json};
-use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
-use tokio::net::{UdpSocket, UnixListener, UnixStream};
+use tokio::net::{UdpSocket, UnixListener};
 use tokio::sync::mpsc::error::TrySendError;
-use tokio::sync::{Notify, mpsc, oneshot, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::JoinHandle;
-use tracing::{debug, info};
+use tracing::{debug, info, warn};
 
-use crate::exchange::Clock;
+use crate::exchange::{Clock, Member};
 use crate::input::Input;
 use crate::interface::{Hearsay, Micros, RuleFigures};
 use crate::standing::Standing;
 
+use control::{ASKED, Asked, accept, listen, serve};
 use cuts::Cuts;
+use distribution::Distribution;
+pub use distribution::{Before, DistributionSetup};
 use snapshot::Snapshot;
 use told::hearsay;
 pub use told::{ToFleet, ended};
@@ -50,12 +53,6 @@
 const BATCH: usize = 64;
 /// Where messages of any worth have to wait for so long at a steward, no relay goes out for work.
 const STRAIN: Micros = 1_000_000;
-/// An operator's line comes whole within this, and is no longer than that.
-const LINE_WITHIN: Duration = Duration::from_secs(2);
-const LONGEST_LINE: u64 = 4096;
-/// Operators that wait for an answer at the most.
-const ASKED: usize = 8;
-
 /// How a relay is set up in its fleet.
 #[derive(Clone, Debug)]
 pub struct Setup {
@@ -77,10 +74,26 @@
     pub facts: Option<FactsSetup>,
     /// Its part among relays that take turns out for work.
     pub turns: Option<TurnsSetup>,
+    /// Its part in the distribution of the destination set by control machines.
+    pub distribution: Option<DistributionSetup>,
     /// Where it answers an operator.
     pub control: Option<PathBuf>,
 }
 
+impl Setup {
+    /// The numbers of all that notes come from: relays, then control machines.
+    fn peers(&self) -> Vec<Peer> {
+        let controls = self.distribution.as_ref().map_or(0, |distribution| count(&distribution.controls));
+        (0..count(&self.all).saturating_add(controls)).collect()
+    }
+
+    /// Where a relay or a control machine hears notes.
+    fn address(&self, peer: Peer) -> Option<&SocketAddr> {
+        let controls = self.distribution.iter().flat_map(|distribution| &distribution.controls);
+        self.all.iter().chain(controls).nth(usize::from(peer))
+    }
+}
+
 /// How a relay shares facts.
 #[derive(Clone, Debug)]
 pub struct FactsSetup {
@@ -97,30 +110,41 @@
     repeats: Option<repeat::Node>,
     facts: Option<(Facts, Witness, Snapshot)>,
     turning: Option<Turning>,
+    distribution: Option<Distribution>,
     cuts: Cuts,
     inputs: mpsc::Sender<Input>,
     replaced: watch::Receiver<Vec<SocketAddr>>,
     socket: UdpSocket,
 }
 
-/// Starts the relay's part in its fleet; what the runtime tells goes into the sender, what others say into `inputs`. Also
-/// what an earlier process of this relay kept, for before it takes on again what is owed. The snapshot in the state
-/// folder takes at most `room` bytes. Another list of relays comes by `replaced`. The task has the sockets, and lets go
-/// of them when it is aborted.
+/// A relay's part in its fleet that has started.
+pub struct Started {
+    /// Takes what the runtime tells.
+    pub tell: mpsc::UnboundedSender<ToFleet>,
+    /// What an earlier process of this relay kept of what was said, for before it takes on again what is owed.
+    pub said: Vec<Hearsay>,
+    /// The endpoints of the destination set as an earlier process kept it, in place of the configured ones.
+    pub endpoints: Option<Vec<Member>>,
+    /// Has the sockets, and lets go of them when it is aborted.
+    pub task: JoinHandle<()>,
+}
+
+/// Starts the relay's part in its fleet; what others say goes into `inputs`. The snapshot of facts in the state folder takes
+/// at most `room` bytes. `before` are the endpoints that the runtime starts with. Another list of relays comes by `replaced`.
 ///
 /// # Errors
 /// Where a socket is not to be had.
 pub async fn start(
     setup: &Setup, rules: &RuleFigures, (state, room): (&Path, u64), (clock, seed): (Clock, u64),
     (inputs, replaced): (mpsc::Sender<Input>, watch::Receiver<Vec<SocketAddr>>),
-    (standing, leave): (Arc<Standing>, Arc<Notify>),
-) -> std::io::Result<(mpsc::UnboundedSender<ToFleet>, Vec<Hearsay>, JoinHandle<()>)> {
+    (standing, leave): (Arc<Standing>, Arc<Notify>), before: Before<'_>,
+) -> std::io::Result<Started> {
     let now = clock.now();
     let start = incarnation(now);
     let config = link::Config {
         me: setup.me,
         incarnation: start,
-        peers: numbers(count(&setup.all)),
+        peers: setup.peers(),
         keys: setup.keys.clone(),
         bytes_per_s: setup.bytes_per_s,
         // Permits tell who is there by themselves; only facts need to know more.
@@ -160,6 +184,9 @@
         .turns
         .clone()
         .map(|turns| Turning::new(turns, (setup.me, relays, start), state, now, standing, leave));
+    let distribution =
+        setup.distribution.as_ref().map(|how| Distribution::start(how, (setup.me, seed), state, before, now));
+    let (distribution, endpoints) = distribution.unzip();
     let (tell, told) = mpsc::unbounded_channel();
     let shell = Shell {
         clock,
@@ -169,46 +196,34 @@
         repeats,
         facts,
         turning,
+        distribution,
         cuts: Cuts::default(),
         inputs,
         replaced,
         socket,
     };
-    Ok((tell, kept, tokio::spawn(shell.run(told, control))))
+    let task = tokio::spawn(shell.run(told, control));
+    Ok(Started { tell, said: kept, endpoints: endpoints.flatten(), task })
 }
 
 fn count(all: &[SocketAddr]) -> Peer {
     Peer::try_from(all.len()).unwrap_or(Peer::MAX)
 }
 
-fn numbers(relays: Peer) -> Vec<Peer> {
-    (0..relays).collect()
-}
-
-/// The control socket. What an earlier process left there answers nobody.
-fn listen(path: &Path) -> std::io::Result<UnixListener> {
-    match std::fs::remove_file(path) {
-        Err(error) if error.kind() != ErrorKind::NotFound => return Err(error),
-        _ => {}
-    }
-    UnixListener::bind(path)
-}
-
 /// The channels that there are, the most urgent first.
 fn channels<'a>(
     permits: &'a mut Option<permit::Node>, repeats: &'a mut Option<repeat::Node>,
     facts: &'a mut Option<(Facts, Witness, Snapshot)>, turning: &'a mut Option<Turning>,
+    distribution: &'a mut Option<Distribution>,
 ) -> Vec<&'a mut dyn Channel> {
     let permits = permits.iter_mut().map(|permits| permits as &mut dyn Channel);
     let repeats = repeats.iter_mut().map(|repeats| repeats as &mut dyn Channel);
     let turns = turning.iter_mut().map(|turning| &mut turning.node as &mut dyn Channel);
+    let distribution = distribution.iter_mut().map(|part| &mut part.node as &mut dyn Channel);
     let facts = facts.iter_mut().map(|(facts, ..)| facts as &mut dyn Channel);
-    permits.chain(repeats).chain(turns).chain(facts).collect()
+    permits.chain(repeats).chain(turns).chain(distribution).chain(facts).collect()
 }
 
-/// What an operator asks, and where the answer goes.
-type Asked = (String, oneshot::Sender<Value>);
-
 impl Shell {
     async fn run(mut self, mut told: mpsc::UnboundedReceiver<ToFleet>, control: Option<UnixListener>) {
         let mut buffer = [0; 512];
@@ -226,12 +241,22 @@
             let now = self.clock.now();
             let mut next = self.link.next_at(
                 now,
-                &channels(&mut self.permits, &mut self.repeats, &mut self.facts, &mut self.turning),
+                &channels(
+                    &mut self.permits,
+                    &mut self.repeats,
+                    &mut self.facts,
+                    &mut self.turning,
+                    &mut self.distribution,
+                ),
             );
             if let Some((facts, _, snapshot)) = &mut self.facts {
                 snapshot.keep_if_due(now, facts.ledger());
                 next = next.min(snapshot.due());
             }
+            if let Some(distribution) = &mut self.distribution {
+                distribution.keep(now);
+                next = next.min(distribution.due());
+            }
             next = next.min(look);
             if let Some(permits) = &self.permits {
                 if self.cuts.due(now) {
@@ -270,7 +295,13 @@
         let now = self.clock.now();
         let mut out = self.link.poll(
             now,
-            &mut channels(&mut self.permits, &mut self.repeats, &mut self.facts, &mut self.turning),
+            &mut channels(
+                &mut self.permits,
+                &mut self.repeats,
+                &mut self.facts,
+                &mut self.turning,
+                &mut self.distribution,
+            ),
         );
         if let Some(permits) = &mut self.permits {
             out.extend(permits.say_earlier(self.link.keys()));
@@ -290,8 +321,11 @@
                 repeats.not_taken(handed);
             }
         }
+        if let Some(distribution) = &mut self.distribution {
+            distribution.deliver(now, &self.inputs);
+        }
         for out in out {
-            if let Some(to) = self.setup.all.get(usize::from(out.to)) {
+            if let Some(to) = self.setup.address(out.to) {
                 // A note may be lost in any case.
                 let _ = self.socket.send_to(&out.bytes, to).await;
             }
@@ -336,7 +370,13 @@
         let taken = self.link.receive(
             now,
             bytes,
-            &mut channels(&mut self.permits, &mut self.repeats, &mut self.facts, &mut self.turning),
+            &mut channels(
+                &mut self.permits,
+                &mut self.repeats,
+                &mut self.facts,
+                &mut self.turning,
+                &mut self.distribution,
+            ),
         );
         if let (Err(NoteError::Version(earlier::VERSION)), Some(permits)) = (taken, &mut self.permits) {
             return permits.hear_earlier(now, bytes, self.link.keys());
@@ -357,9 +397,16 @@
 
     /// Takes on another list of relays.
     fn replace(&mut self) {
-        self.setup.all = self.replaced.borrow_and_update().clone();
+        let all = self.replaced.borrow_and_update().clone();
+        if self.distribution.is_some() && all.len() != self.setup.all.len() {
+            // The numbers of control machines follow those of relays, and each relay has its place in the file.
+            return warn!(
+                "another number of relays needs a restart, as [configuration] gives each its place"
+            );
+        }
+        self.setup.all = all;
         let relays = count(&self.setup.all);
-        self.link.replace(numbers(relays));
+        self.link.replace(self.setup.peers());
         self.permits.iter_mut().for_each(|permits| permits.replaced(relays));
         self.repeats.iter_mut().for_each(|repeats| repeats.replaced(relays));
         if let Some((facts, ..)) = &mut self.facts {
@@ -375,75 +422,7 @@
         match (serde_json::from_str::<Value>(line), &mut self.turning) {
             (Ok(order), Some(turning)) if order.is_object() => turning.asked(now, &order),
             (Ok(order), None) if order.is_object() => json!({"error": "this relay takes no turns"}),
-            _ => self.show(),
+            _ => show::show(self),
         }
     }
-
-    /// All that an operator may ask for.
-    fn show(&self) -> Value {
-        let now = self.clock.now();
-        let ago = |at: Micros| (now - at) as f64 / 1e6;
-        let facts = self.facts.as_ref().map(|(facts, ..)| facts);
-        let trust = |peer| facts.map(|facts| facts.ledger().trust.of(peer));
-        let peer = |(peer, member): (Peer, ::fleet::members::Member)| {
-            json!({"peer": peer, "standing": format!("{:?}", member.standing).to_lowercase(),
-                "incarnation": member.incarnation, "heard_s_ago": member.heard.map(ago),
-                "trust": trust(peer)})
-        };
-        let fact = |(fact, weight): (peers::fact::Fact, f64)| {
-            json!({"destination": fact.destination, "known": fact.known, "seen_s_ago": ago(fact.at),
-                "by": fact.source, "hops": fact.hops, "weight": weight})
-        };
-        let share = |share: permit::Share| {
-            json!({"destination": share.destination, "steward": share.steward, "own": share.own,
-                "lent": share.lent, "of": share.of, "sliced": share.sliced})
-        };
-        let peers: Vec<Value> = self.link.members().all().map(peer).collect();
-        let known: Vec<Value> =
-            facts.map(|facts| facts.ledger().all(now).map(fact).collect()).unwrap_or_default();
-        let shares: Vec<Value> =
-            self.permits.iter().flat_map(|permits| permits.shares(now)).map(share).collect();
-        let counts = self.link.counts();
-        let ignored: serde_json::Map<String, Value> =
-            counts.ignored.iter().map(|(why, n)| (why.to_string(), json!(n))).collect();
-        let queues: Vec<Value> = self
-            .permits
-            .iter()
-            .flat_map(|permits| permits.queues(now))
-            .map(|queue| cuts::show(&queue))
-            .collect();
-        let budget = |budget: repeat::Budget| {
-            let repeat::Budget { destination, keeper, credits, counts, waiting: [here, asked] } = budget;
-            json!({"destination": destination, "keeper": keeper, "credits": credits, "firsts": counts.firsts,
-                "spent": counts.spent, "given": counts.given, "had": counts.had, "waiting": here, "asked": asked})
-        };
-        let budgets: Vec<Value> =
-            self.repeats.iter().flat_map(|repeats| repeats.budgets(now)).map(budget).collect();
-        let turns = self.turning.as_ref().map(|turning| turning.show(now));
-        json!({"peers": peers, "facts": known, "shares": shares, "overload": queues, "repeats": budgets, "turns": turns, "sent": counts.sent,
-            "bytes": counts.bytes, "taken": counts.taken, "ignored": ignored, "skipped": counts.skipped,
-            "news": facts.map_or(0, Facts::news_count)})
-    }
-}
-
-async fn accept(control: Option<&UnixListener>) -> std::io::Result<UnixStream> {
-    match control {
-        Some(listener) => listener.accept().await.map(|(stream, _)| stream),
-        None => std::future::pending().await,
-    }
-}
-
-/// One line asks, one line answers.
-async fn serve(mut stream: UnixStream, ask: mpsc::Sender<Asked>) {
-    let (read, mut write) = stream.split();
-    let mut line = String::new();
-    let mut read = BufReader::new(read.take(LONGEST_LINE));
-    let whole = tokio::time::timeout(LINE_WITHIN, read.read_line(&mut line)).await;
-    let (answer, answered) = oneshot::channel();
-    if matches!(whole, Ok(Ok(_)))
-        && ask.send((line, answer)).await.is_ok()
-        && let Ok(answer) = answered.await
-    {
-        let _ = write.write_all(format!("{answer}\n").as_bytes()).await;
-    }
 }
