--- a/crates/scale/src/rollout_run/simulation/day.rs
+++ b/crates/scale/src/rollout_run/simulation/day.rs
@@ -3,7 +3,6 @@
 use destinations::{Digest, Operation, Version};
 use fleet::Peer;
 use rand::seq::SliceRandom;
-use rollout::subscription::{STALE, UPSTREAMS};
 
 use super::{Event, Machine, Simulation};
 use crate::random::{Purpose, stream};
@@ -18,6 +17,10 @@
 const UPSTREAMS_EACH: u64 = 20;
 /// A change that a relay lacks for longer is late: the bound of `docs/configuration.md`.
 const LATE: Micros = 4 * SECOND;
+/// Upstreams that each relay is to have, as `rollout` has it.
+const UPSTREAMS: usize = 2;
+/// An upstream whose state control confirmed longer ago is stale, as `rollout` has it.
+const STALE: Micros = 10 * SECOND;
 /// So many times the most relays that are short of upstreams at a time before the event count as ordinary afterwards: at 1 %
 /// loss two heartbeats in a row are lost now and then, and an upstream is replaced.
 const ORDINARY_TIMES: u32 = 2;
