Keep the full plan's points within its ten minutes

A trial of 600 s beside other load lost the members of 280 to 1,000 relays: limits at 250 and 520 events a second and relay had taken 357 s to no end, and one corner 116 s. Limits now end at 140 events, and fleets of members begin at as many events for each destination as are coming.

--- a/crates/scale/src/slopes/plan.rs
+++ b/crates/scale/src/slopes/plan.rs
@@ -93,7 +93,7 @@
             groups: vec![members_full(), limits_full()],
             warm_up_s: WARM_UP_S,
             simulated_s: SIMULATED_S,
-            bound: Duration::from_secs(200),
+            bound: Duration::from_secs(150),
             bound_of_all: Duration::from_secs(600),
         }
     }
@@ -140,15 +140,16 @@
 }
 
 fn members_full() -> Group {
-    let base = Conditions { relays: 100, destinations: 1_000, events_per_relay: 200.0, ..Conditions::TARGET };
+    // Five events a second for each destination; nine are coming.
+    let base = Conditions { relays: 100, destinations: 1_000, events_per_relay: 50.0, ..Conditions::TARGET };
     members(
         base,
         &[80.0, 100.0, 140.0, 200.0, 280.0, 400.0, 600.0, 1_000.0],
         &[250.0, 500.0, 1_000.0, 2_000.0, 4_000.0, 8_000.0, 20_000.0, 56_000.0],
-        &[50.0, 75.0, 100.0, 150.0, 200.0, 270.0, 370.0, 520.0],
+        &[25.0, 37.5, 50.0, 75.0, 120.0, 200.0, 320.0, 520.0],
         [
-            Conditions { relays: 150, destinations: 2_000, events_per_relay: 250.0, ..base },
-            Conditions { relays: 250, destinations: 5_000, events_per_relay: 350.0, ..base },
+            Conditions { relays: 150, destinations: 2_000, events_per_relay: 75.0, ..base },
+            Conditions { relays: 250, destinations: 5_000, events_per_relay: 120.0, ..base },
         ],
     )
 }
@@ -184,10 +185,10 @@
     limits(
         &[20.0, 40.0, 80.0, 130.0, 200.0, 350.0, 600.0, 1_000.0],
         &[25.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_300.0, 2_000.0],
-        &[5.0, 10.0, 20.0, 40.0, 80.0, 140.0, 250.0, 520.0],
+        &[2.5, 5.0, 10.0, 20.0, 40.0, 60.0, 90.0, 140.0],
         [
             Conditions { relays: 80, destinations: 200, events_per_relay: 20.0, ..LIMITS_BASE },
-            Conditions { relays: 160, destinations: 400, events_per_relay: 40.0, ..LIMITS_BASE },
+            Conditions { relays: 120, destinations: 300, events_per_relay: 30.0, ..LIMITS_BASE },
         ],
     )
 }
