Begin the flood before the door is asked in the test of the operators' door

The flood now tells of its first request and the door is asked after that; the assertions stay. Also names the upstream by its place in the distribution crate.

--- a/src/fleet/distribution/status.rs
+++ b/src/fleet/distribution/status.rs
@@ -1,7 +1,6 @@
 //! What an operator is shown of the destination set on a relay.
 
-use rollout::subscription::Upstream;
-use rollout::{Kind, Micros, Node, Progress, SECOND};
+use rollout::{Kind, Micros, Node, Progress, SECOND, Upstream};
 use serde_json::{Map, Value, json};
 
 /// The set that is in force, from whom it came, and what was refused. `listed` is how many destinations the runtime has;
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -45,6 +45,7 @@
     let silent: Vec<TcpStream> = (0..120).map(|_| connect(&program.addresses[0])).collect();
     let listen = program.addresses[0].clone();
     let (stop, stopped) = std::sync::mpsc::channel::<()>();
+    let (begin, begun) = std::sync::mpsc::channel::<()>();
     let flood = std::thread::spawn(move || {
         for n in 0.. {
             if stopped.try_recv().is_ok() {
@@ -52,9 +53,12 @@
             }
             let Ok(mut stream) = TcpStream::connect(&listen) else { continue };
             let _ = stream.write_all(&handed_in("status-update", &format!("f{n}"), 0, 900, b"x"));
+            let _ = begin.send(());
         }
         0
     });
+    // On a busy machine the door could otherwise have answered everything before the flood has begun.
+    begun.recv_timeout(Duration::from_secs(20)).expect("the flood begins");
     for _ in 0..20 {
         let (status, body) = order(&program.door, "GET", "/status");
         assert_eq!((status, &body["state"], &body["ready"]), (200, &json!("active"), &json!(true)));
