Test control machines and relays together, from the operator's line to the endpoint

The control machine and the relay's part in the distribution were each tested against a stand-in of the other, and nothing showed that they fit. tests/control starts three control machines, each in a thread with a runtime of its own, and three relays as processes in two zones. It publishes by the lines that an operator writes: another endpoint, a rollback, a change while a relay is killed, and one after the leader stopped; each time every relay delivers to the endpoints of that version and has the digest of the control machines. The partner of tests/configuration.rs moves to tests/stand/partner.rs, as it was.

--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -10,14 +10,13 @@
 use std::process::Command;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::mpsc::{Receiver, channel};
-use std::time::{Duration, Instant};
 
 use destinations::{ControlKeys, DestinationId, DestinationSet, Operation, SigningKey, persist};
 use fleet::keys::{Key, Keys};
 use rollout::topology::{Machine, Place, Role, Topology};
 use serde_json::Value;
 use stand::control::{Control, control_key, foreign_key, hex, next_change, put};
+use stand::partner::{Partner, until};
 use stand::*;
 use tokio::sync::{mpsc, watch};
 use tulipfall::exchange::{Clock, Member};
@@ -27,52 +26,9 @@
 use tulipfall::standing::Standing;
 use tulipfall::wire::RawEntry;
 
-/// From one look at a condition to the next.
-const LOOK: Duration = Duration::from_millis(20);
 /// The key of notes.
 const NOTES_KEY: [u8; 32] = [7; 32];
 
-fn until(what: &str, mut holds: impl FnMut() -> bool) {
-    let started = Instant::now();
-    while !holds() {
-        assert!(started.elapsed() < FAR, "never: {what}");
-        std::thread::sleep(LOOK);
-    }
-}
-
-/// An endpoint that takes every call, and tells the messages that came.
-struct Partner {
-    address: SocketAddr,
-    heard: Receiver<String>,
-}
-
-impl Partner {
-    fn start() -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a socket");
-        let address = listener.local_addr().expect("an address");
-        let (tell, heard) = channel();
-        std::thread::spawn(move || {
-            for mut stream in listener.incoming().flatten() {
-                let tell = tell.clone();
-                std::thread::spawn(move || {
-                    while let Some(call) = hear(&mut stream) {
-                        let _ = tell.send(call.header("X-Correlation-Id").unwrap_or_default().to_string());
-                        if stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").is_err() {
-                            return;
-                        }
-                    }
-                });
-            }
-        });
-        Partner { address, heard }
-    }
-
-    /// Waits for the next message and tells which it is.
-    fn next(&self) -> String {
-        self.heard.recv_timeout(FAR).expect("a message")
-    }
-}
-
 /// Passes datagrams on to a relay, unless it is cut off.
 struct Forwarder {
     address: SocketAddr,
--- /dev/null
+++ b/tests/control/cluster.rs
@@ -0,0 +1,196 @@
+//! Three control machines, each in a thread of its own, and what an operator asks them.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use control::shell::config::Config;
+use control::shell::daemon;
+use destinations::SigningKey;
+use serde_json::{Value, json};
+use tokio::sync::oneshot;
+
+use crate::stand::folder;
+
+/// Control machines of a cluster.
+pub const MACHINES: u64 = 3;
+/// Relays of the fleet, whose numbers come before those of the control machines.
+pub const RELAYS: u16 = 3;
+/// The key by which control machines sign changes.
+const CLUSTER_KEY: [u8; 32] = [7; 32];
+/// The key of notes between all machines.
+pub const LINK_KEY: [u8; 32] = [9; 32];
+/// For how long one answer is awaited.
+const ANSWER_PATIENCE: Duration = Duration::from_secs(2);
+/// Between two attempts.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// A control machine that runs until it is dropped.
+struct Running {
+    stop: Option<oneshot::Sender<()>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl Running {
+    /// Starts the machine of a file on a runtime of its own, as the program does.
+    fn start(file: &Path) -> Self {
+        let config = Config::read(file).expect("a sound file");
+        let (stop, stopped) = oneshot::channel::<()>();
+        let thread = std::thread::spawn(move || {
+            let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+            runtime.expect("a runtime").block_on(async {
+                tokio::select! {
+                    ended = daemon::run(config) => panic!("a control machine ended: {ended:?}"),
+                    _ = stopped => {}
+                }
+            });
+        });
+        Running { stop: Some(stop), thread: Some(thread) }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        drop(self.stop.take());
+        // A machine that ended by itself has said so.
+        let _ = self.thread.take().map(JoinHandle::join);
+    }
+}
+
+/// The control machines of a test.
+pub struct Cluster {
+    /// Where the files of all machines of the test are.
+    pub folder: PathBuf,
+    /// The loopback address of all machines of the test.
+    pub ip: IpAddr,
+    machines: BTreeMap<u64, Running>,
+    proposals: u32,
+    deadline: Instant,
+}
+
+impl Cluster {
+    /// Writes the files and starts all machines. They have to do all that the test asks by the deadline.
+    pub fn start(deadline: Instant) -> Self {
+        let folder = folder("control");
+        let pid = std::process::id().to_be_bytes();
+        let ip = Ipv4Addr::new(127, 1 + pid[2] % 200, pid[3], 201);
+        let hex = |key: [u8; 32]| key.iter().map(|byte| format!("{byte:02x}")).collect::<String>();
+        std::fs::write(folder.join("cluster.key"), hex(CLUSTER_KEY)).expect("a file");
+        std::fs::write(folder.join("link.key"), hex(LINK_KEY)).expect("a file");
+        let mut cluster =
+            Cluster { folder, ip: ip.into(), machines: BTreeMap::new(), proposals: 0, deadline };
+        for id in 1..=MACHINES {
+            let file = cluster.folder.join(format!("control-{id}.toml"));
+            std::fs::write(&file, cluster.file(id)).expect("a file");
+            cluster.machines.insert(id, Running::start(&file));
+        }
+        cluster
+    }
+
+    /// Stops one machine.
+    pub fn stop(&mut self, id: u64) {
+        self.machines.remove(&id).expect("it runs");
+    }
+
+    /// The public key of changes.
+    pub fn public_key() -> [u8; 32] {
+        SigningKey::from_bytes(&CLUSTER_KEY).verifying_key().to_bytes()
+    }
+
+    /// Where a machine of the fleet listens for notes.
+    pub fn link(&self, peer: u16) -> SocketAddr {
+        SocketAddr::new(self.ip, 7200 + peer)
+    }
+
+    /// The number in the fleet of a control machine.
+    pub fn peer(id: u64) -> u16 {
+        RELAYS + id as u16 - 1
+    }
+
+    /// The machine that leads by the word of all that run.
+    pub fn leader(&self) -> u64 {
+        loop {
+            let statuses: Vec<Option<u64>> =
+                self.machines.keys().map(|id| self.status(*id)?["leader"].as_u64()).collect();
+            match statuses.first() {
+                Some(Some(leader)) if statuses.iter().all(|one| *one == Some(*leader)) => return *leader,
+                _ => self.pause(),
+            }
+        }
+    }
+
+    /// Publishes or rolls back; the version it led to. Each attempt has the same id, so that it is taken once.
+    pub fn publish(&mut self, mut request: Value) -> String {
+        self.proposals += 1;
+        let kind = request.as_object().and_then(|object| object.keys().next().cloned()).expect("a request");
+        request[&kind]["id"] = json!(format!("{:032x}", self.proposals));
+        loop {
+            let reply = self.ask(self.leader(), &request).unwrap_or_default();
+            if let Some(published) = reply.get("published") {
+                let version = &published["version"];
+                return format!("{}.{}", version["epoch"], version["number"]);
+            }
+            let again =
+                reply.is_null() || reply.get("not_leader").is_some() || reply.get("unknown").is_some();
+            assert!(again, "{request}: {reply}");
+            self.pause();
+        }
+    }
+
+    /// The digest of the set on the leader.
+    pub fn digest(&self) -> String {
+        let status = self.status(self.leader()).expect("its status");
+        status["digest"].as_str().expect("a digest").to_owned()
+    }
+
+    fn status(&self, id: u64) -> Option<Value> {
+        Some(self.ask(id, &json!("status"))?["status"].take())
+    }
+
+    fn ask(&self, id: u64, request: &Value) -> Option<Value> {
+        let mut connection = TcpStream::connect_timeout(&self.admin(id), ANSWER_PATIENCE).ok()?;
+        connection.set_read_timeout(Some(ANSWER_PATIENCE)).ok()?;
+        connection.write_all(format!("{request}\n").as_bytes()).ok()?;
+        let mut answer = String::new();
+        BufReader::new(connection).read_line(&mut answer).ok()?;
+        serde_json::from_str(&answer).ok()
+    }
+
+    fn pause(&self) {
+        assert!(Instant::now() < self.deadline, "it takes too long");
+        std::thread::sleep(PAUSE);
+    }
+
+    fn admin(&self, id: u64) -> SocketAddr {
+        SocketAddr::new(self.ip, 7000 + id as u16)
+    }
+
+    fn file(&self, id: u64) -> String {
+        let ip = self.ip;
+        let mut file = format!(
+            "node = {id}\ndata = \"data-{id}\"\ncluster_key = \"cluster.key\"\nlink_key = \"link.key\"\n\
+             tick_ms = 20\nelection_ticks = 24\nheartbeat_ticks = 4\n"
+        );
+        for node in 1..=MACHINES {
+            file += &format!(
+                "[[control]]\nnode = {node}\npeer = {}\nregion = 0\nzone = {}\n\
+                 consensus = \"{ip}:{}\"\nadmin = \"{}\"\nlink = \"{}\"\n",
+                Self::peer(node),
+                node + 1,
+                7100 + node,
+                self.admin(node),
+                self.link(Self::peer(node)),
+            );
+        }
+        for (peer, (region, zone)) in [(0, 0), (0, 0), (1, 1)].into_iter().enumerate() {
+            file += &format!(
+                "[[relay]]\npeer = {peer}\nregion = {region}\nzone = {zone}\nlink = \"{}\"\n",
+                self.link(peer as u16)
+            );
+        }
+        file
+    }
+}
--- /dev/null
+++ b/tests/control/relays.rs
@@ -0,0 +1,162 @@
+//! Three relays as processes in two zones, which take the destination set from the control machines.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::SocketAddr;
+use std::os::unix::net::UnixStream;
+use std::path::PathBuf;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+use serde_json::Value;
+
+use crate::cluster::{Cluster, LINK_KEY, MACHINES, RELAYS};
+use crate::stand::partner::Partner;
+use crate::stand::{FAR, Program, ask, connect, handed_in};
+
+/// From one look at the relays to the next.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// The relays of a test.
+pub struct Relays {
+    folder: PathBuf,
+    /// By their numbers; none where a relay is down.
+    programs: Vec<Option<Program>>,
+    deadline: Instant,
+}
+
+impl Relays {
+    /// Writes the files and starts all relays. The files list one endpoint of destination 1.
+    pub fn start(cluster: &Cluster, listed: SocketAddr, deadline: Instant) -> Self {
+        let folder = cluster.folder.clone();
+        std::fs::write(folder.join("peers.key"), LINK_KEY).expect("a file");
+        let mut relays = Relays { folder, programs: Vec::new(), deadline };
+        for number in 0..RELAYS {
+            let text = relay_file(number, cluster, listed);
+            std::fs::write(relays.file(number.into()), text).expect("a file");
+            relays.programs.push(None);
+            relays.launch(number.into());
+        }
+        relays
+    }
+
+    /// Starts one relay.
+    pub fn launch(&mut self, number: usize) {
+        let file = self.file(number).display().to_string();
+        self.programs[number] = Some(Program::start(&["run", "--config", &file], &[], 1));
+    }
+
+    /// Kills one relay with SIGKILL.
+    pub fn kill(&mut self, number: usize) {
+        self.programs[number] = None;
+    }
+
+    /// Waits until that version is in force on all that run.
+    pub fn all_reach(&self, version: &str) {
+        for number in self.running() {
+            while self.shown(number)["version"] != version {
+                let shown = self.shown(number);
+                assert!(Instant::now() < self.deadline, "relay {number} is not at {version}: {shown}");
+                std::thread::sleep(LOOK);
+            }
+        }
+    }
+
+    /// Hands each relay a message for destination 1, which that partner hears and no other.
+    pub fn all_deliver(&self, what: &str, partner: &Partner) {
+        for number in self.running() {
+            let id = format!("{what}-{number}");
+            let program = self.programs[number].as_ref().expect("it runs");
+            let request = handed_in("status-update", &id, 1, 3000, b"x");
+            let answer = ask(&mut connect(&program.addresses[0]), &request).expect("an answer");
+            assert_eq!(answer.status(), 202);
+            assert_eq!(partner.next(), id);
+        }
+    }
+
+    /// Each relay has the digest of the control machines, by the command that shows it.
+    pub fn agree_with(&self, cluster: &Cluster) {
+        let digest = cluster.digest();
+        for number in self.running() {
+            let file = self.file(number).display().to_string();
+            let shown = Command::new(env!("CARGO_BIN_EXE_tulipfall"))
+                .args(["fleet", "configuration", "--json", "--config", &file])
+                .output()
+                .expect("it runs");
+            let shown: Value = serde_json::from_slice(&shown.stdout).expect("JSON");
+            assert_eq!(shown["digest"], digest, "relay {number}: {shown}");
+        }
+    }
+
+    fn running(&self) -> impl Iterator<Item = usize> {
+        (0..).zip(&self.programs).filter(|(_, program)| program.is_some()).map(|(number, _)| number)
+    }
+
+    fn file(&self, number: usize) -> PathBuf {
+        self.folder.join(format!("n{number}.toml"))
+    }
+
+    /// What a relay shows of the destination set.
+    fn shown(&self, number: usize) -> Value {
+        let mut stream =
+            UnixStream::connect(self.folder.join(format!("n{number}.control"))).expect("the control socket");
+        stream.set_read_timeout(Some(FAR)).expect("a deadline");
+        stream.write_all(b"show\n").expect("written");
+        let mut answer = String::new();
+        BufReader::new(stream).read_line(&mut answer).expect("an answer");
+        let mut all: Value = serde_json::from_str(&answer).expect("JSON");
+        all["configuration"].take()
+    }
+}
+
+fn relay_file(me: u16, cluster: &Cluster, listed: SocketAddr) -> String {
+    let listen = cluster.link(me);
+    let all: Vec<String> = (0..RELAYS).map(|peer| format!("\"{}\"", cluster.link(peer))).collect();
+    let all = all.join(", ");
+    let key: String = Cluster::public_key().iter().map(|byte| format!("{byte:02x}")).collect();
+    let control = |id| {
+        let address = cluster.link(Cluster::peer(id));
+        format!("[[configuration.control]]\naddress = \"{address}\"\nregion = \"muscat\"\n")
+    };
+    let controls: String = (1..=MACHINES).map(control).collect();
+    format!(
+        r#"
+name = "n{me}"
+listen = "127.0.0.1:0"
+state = "n{me}.state"
+[store]
+kind = "journal"
+[relay]
+relays = {RELAYS}
+[[class]]
+name = "status-update"
+effect = "repeatable"
+aim_ms = 500
+deadline_ms = 3000
+[[tenant]]
+name = "desk"
+[[destination]]
+number = 1
+per_s = 50
+endpoints = ["{listed}"]
+[peers]
+me = {me}
+listen = "{listen}"
+all = [{all}]
+control = "n{me}.control"
+[[peers.key]]
+id = 1
+file = "peers.key"
+[configuration]
+keys = ["{key}"]
+{controls}
+[[configuration.zone]]
+name = "muscat-a"
+region = "muscat"
+relays = {{ first = 0, count = 2 }}
+[[configuration.zone]]
+name = "salalah-a"
+region = "salalah"
+relays = {{ first = 2, count = 1 }}
+"#
+    )
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub mod control;
+pub mod partner;
 pub mod site;
 
 use std::io::{BufRead, BufReader, Read, Write};
