Number machines alike on relays and control machines, and tell where two lists differ

A control machine's file stated the numbers of machines, regions and zones by hand, its key of notes in hexadecimal digits and the key's id as 1; a relay derives the numbers from its file and reads the key's bytes. Files that disagreed meant subscribers that were refused or not heard at all, and nothing said so.

rollout::layout numbers machines, and both programs use it. The file of a control machine has peers.all, [[peers.key]] and [configuration] of the relays' files; relays allow the addresses consensus and admin there, which they do not use. The tests of the file and of the processes use the new form and check as much as before, and more.

Where two lists differ, both sides warn once with the other's number and count: a subscriber that does not stand behind (status: misplaced; also in tulipfall fleet configuration), and on a control machine notes of a number that is not listed (strangers) and notes refused for any reason (refused_notes).

--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use clap::Parser;
-use control::shell::config::Config;
+use control::shell::config::{Config, read_signing_key};
 use control::shell::daemon;
 
 /// A control machine of tulipfall: agrees with the others on the changes of the destination set, and publishes them.
@@ -12,8 +12,11 @@
 #[command(version, after_help = "Exit status: 0 it was told to stop; 1 it cannot start or go on.")]
 struct Cli {
     /// The file of this machine
-    #[arg(value_name = "FILE")]
-    config: PathBuf,
+    #[arg(value_name = "FILE", required_unless_present = "public_key")]
+    config: Option<PathBuf>,
+    /// Prints the public key of a key that signs changes, for configuration.keys, and ends
+    #[arg(long, value_name = "KEY_FILE", conflicts_with = "config")]
+    public_key: Option<PathBuf>,
 }
 
 fn main() -> ExitCode {
@@ -29,7 +32,11 @@
 }
 
 fn run(cli: &Cli) -> Result<(), Box<dyn std::error::Error>> {
-    let config = Config::read(&cli.config)?;
+    if let Some(file) = &cli.public_key {
+        println!("{}", hex::encode(read_signing_key(file)?.verifying_key().to_bytes()));
+    }
+    let Some(file) = &cli.config else { return Ok(()) };
+    let config = Config::read(file)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     runtime.block_on(daemon::run(config))?;
     Ok(())
--- a/crates/control/src/shell/admin.rs
+++ b/crates/control/src/shell/admin.rs
@@ -8,10 +8,12 @@
 //!
 //! A proposal may bear an `id` of 32 hexadecimal digits; asked again by the same id, as after a timeout, it is taken once.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use destinations::{Operation, Version};
+use fleet::Peer;
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader};
 use tokio::net::{TcpListener, TcpStream};
@@ -122,6 +124,13 @@
     pub refused_messages: u64,
     /// Machines of the fleet that hear changes from this one.
     pub subscribers: usize,
+    /// How often machines of the fleet were refused as subscribers because their list of machines is another than here,
+    /// by their numbers.
+    pub misplaced: BTreeMap<Peer, u64>,
+    /// Notes of the fleet, with its key, by senders whose numbers are not those of other machines here.
+    pub strangers: BTreeMap<Peer, u64>,
+    /// Notes of the fleet that had no effect, for any reason, as another key.
+    pub refused_notes: u64,
 }
 
 /// A request, and where its answer goes.
--- a/crates/control/src/shell/config.rs
+++ b/crates/control/src/shell/config.rs
@@ -1,24 +1,33 @@
 //! The file of a control machine. What is wrong in it is named by file, line and key.
 //!
+//! `peers.all` and `[configuration]` are those of the relays' files, which number the machines (see [`rollout::layout`]);
+//! relays do not use `consensus` and `admin`.
+//!
 //! ```toml
 //! node = 1
 //! data = "data-1"
 //! cluster_key = "cluster.key"
 //!
-//! [[control]]
-//! node = 1
-//! peer = 0
-//! region = 0
-//! zone = 0
+//! [peers]
+//! all = ["10.0.1.0:7946", "10.0.1.1:7946"]
+//!
+//! [[peers.key]]
+//! id = 1
+//! file = "peers.key"
+//!
+//! [configuration]
+//! keys = ["72a46be3bd9848afd1d5c94e495aa1f57c24bcb4006f959de6e94995afafab44"]
+//!
+//! [[configuration.control]]
+//! address = "10.0.0.1:7956"
+//! region = "north"
 //! consensus = "10.0.0.1:7100"
 //! admin = "127.0.0.1:7000"
-//! link = "10.0.0.1:7200"
 //!
-//! [[relay]]
-//! peer = 6
-//! region = 0
-//! zone = 1
-//! link = "10.0.1.6:7200"
+//! [[configuration.zone]]
+//! name = "north-a"
+//! region = "north"
+//! relays = { first = 0, count = 2 }
 //! ```
 
 use std::collections::BTreeMap;
@@ -31,15 +40,16 @@
 use destinations::SigningKey;
 use fleet::Peer;
 use fleet::keys::{Key, Keys};
-use rollout::topology::{Machine, Place, Role, Topology};
-use serde::Deserialize;
+use rollout::layout::{Layout, LayoutError};
+use rollout::topology::Topology;
 use thiserror::Error;
-use toml::Spanned;
 
-/// Bytes of the keys of the cluster and of the link.
+use crate::shell::config_file::{ControlTable, File, LinkKeyTable, PeersTable, ZoneTable};
+
+/// Bytes of the key of the cluster, and of a public key.
 const KEY_BYTES: usize = 32;
-/// The id of the key of the link.
-const LINK_KEY_ID: u8 = 1;
+/// The least length of a key that signs notes, in bytes.
+const MIN_LINK_KEY_BYTES: usize = 16;
 
 /// What a control machine is told.
 #[derive(Debug)]
@@ -48,7 +58,8 @@
     pub data: PathBuf,
     /// The key by which changes are signed; the same on all control machines.
     pub cluster_key: SigningKey,
-    /// The keys by which notes between machines of the fleet are signed; empty if they are not.
+    /// The keys by which notes between machines of the fleet are signed: the first signs, and each is accepted. Empty if
+    /// they are not signed.
     pub link_keys: Keys,
     /// The configuration of the consensus.
     pub consensus: consensus::Config,
@@ -62,18 +73,11 @@
     pub topology: Arc<Topology>,
 }
 
-/// A control machine as the file lists it.
-#[derive(Clone, Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
+/// A control machine.
+#[derive(Clone, Debug)]
 pub struct Control {
-    /// Its number in the consensus, from 1.
-    node: Spanned<u64>,
     /// Its number in the fleet.
     pub peer: Peer,
-    /// Its region.
-    region: u8,
-    /// Its zone.
-    zone: u16,
     /// Where it listens for other control machines (TCP).
     pub consensus: SocketAddr,
     /// Where it listens for operators (TCP).
@@ -82,49 +86,6 @@
     pub link: SocketAddr,
 }
 
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct Relay {
-    peer: Peer,
-    region: u8,
-    zone: u16,
-    link: SocketAddr,
-}
-
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-struct File {
-    node: Spanned<u64>,
-    data: PathBuf,
-    cluster_key: Spanned<PathBuf>,
-    link_key: Option<Spanned<PathBuf>>,
-    /// The length of a tick of the consensus.
-    #[serde(default = "default_tick_ms")]
-    tick_ms: Spanned<u32>,
-    /// See [`consensus::Config::election_ticks`].
-    #[serde(default = "default_election_ticks")]
-    election_ticks: usize,
-    /// See [`consensus::Config::heartbeat_ticks`].
-    #[serde(default = "default_heartbeat_ticks")]
-    heartbeat_ticks: usize,
-    control: Spanned<Vec<Control>>,
-    #[serde(default)]
-    relay: Vec<Relay>,
-}
-
-/// With the ticks below, a leader between regions is missed after 2.0 to 3.5 seconds.
-fn default_tick_ms() -> Spanned<u32> {
-    Spanned::new(0..0, 100)
-}
-
-fn default_election_ticks() -> usize {
-    20
-}
-
-fn default_heartbeat_ticks() -> usize {
-    5
-}
-
 /// Why a file is not usable.
 #[derive(Debug, Error)]
 pub enum ConfigError {
@@ -162,6 +123,38 @@
     }
 }
 
+/// Why a file holds no signing key.
+#[derive(Debug, Error)]
+pub enum KeyFileError {
+    /// It cannot be read.
+    #[error("{}: {source}", .file.display())]
+    Read {
+        /// The file.
+        file: PathBuf,
+        /// Why.
+        source: std::io::Error,
+    },
+    /// It holds something else.
+    #[error("{}: a key is 64 hexadecimal digits", .0.display())]
+    NoKey(PathBuf),
+}
+
+/// Reads the key that signs changes, 64 hexadecimal digits.
+///
+/// # Errors
+/// The file cannot be read, or holds something else.
+pub fn read_signing_key(file: &Path) -> Result<SigningKey, KeyFileError> {
+    let text = std::fs::read_to_string(file)
+        .map_err(|source| KeyFileError::Read { file: file.to_owned(), source })?;
+    let key = key_of_hex(text.trim()).ok_or_else(|| KeyFileError::NoKey(file.to_owned()))?;
+    Ok(SigningKey::from_bytes(&key))
+}
+
+fn key_of_hex(text: &str) -> Option<[u8; KEY_BYTES]> {
+    let mut key = [0; KEY_BYTES];
+    hex::decode_to_slice(text, &mut key).ok().map(|()| key)
+}
+
 /// The text of a file, to say where in it something is wrong.
 struct Source<'a> {
     file: &'a Path,
@@ -171,23 +164,20 @@
 impl Source<'_> {
     fn config(&self) -> Result<Config, ConfigError> {
         let file: File = toml::from_str(self.text).map_err(|error| self.syntax(&error))?;
-        let controls = self.controls(&file)?;
+        let (topology, controls) = self.machines(&file)?;
         let own = NodeId(*file.node.get_ref());
         let Some(me) = controls.get(&own).cloned() else {
-            return Err(self.wrong(file.node.span(), "no [[control]] has this number"));
+            let expected = format!("expected 1 to {}, a position in configuration.control", controls.len());
+            return Err(self.wrong(file.node.span(), expected));
         };
-        let topology = self.topology(&file)?;
         let consensus = self.consensus(&file, own, &controls)?;
-        let links = controls.values().map(|control| (control.peer, control.link));
-        let links = links.chain(file.relay.iter().map(|relay| (relay.peer, relay.link)));
+        let relays = (0..).zip(file.peers.all.get_ref().iter().copied());
+        let links = relays.chain(controls.values().map(|control| (control.peer, control.link)));
         let links = links.filter(|(peer, _)| *peer != me.peer).collect();
-        let cluster_key = SigningKey::from_bytes(&self.key(&file.cluster_key)?);
-        let link_key = file.link_key.as_ref().map(|path| self.key(path)).transpose()?;
-        let link_key = link_key.map(|key| Key { id: LINK_KEY_ID, bytes: key.to_vec() });
         Ok(Config {
             data: self.beside(&file.data),
-            cluster_key,
-            link_keys: Keys(link_key.into_iter().collect()),
+            cluster_key: self.cluster_key(&file)?,
+            link_keys: self.link_keys(&file)?,
             consensus,
             me,
             controls,
@@ -196,24 +186,75 @@
         })
     }
 
-    fn controls(&self, file: &File) -> Result<BTreeMap<NodeId, Control>, ConfigError> {
+    /// Numbers all machines as relays do.
+    fn machines(&self, file: &File) -> Result<(Topology, BTreeMap<NodeId, Control>), ConfigError> {
+        let mut layout = Layout::new(file.peers.all.get_ref().len());
+        for zone in &file.configuration.zone {
+            self.add_zone(&mut layout, zone)?;
+        }
         let mut controls = BTreeMap::new();
-        for control in file.control.get_ref() {
-            let node = &control.node;
-            if controls.insert(NodeId(*node.get_ref()), control.clone()).is_some() {
-                return Err(self.wrong(node.span(), "another [[control]] has this number"));
-            }
+        for (node, table) in (1..).map(NodeId).zip(&file.configuration.control) {
+            controls.insert(node, self.add_control(&mut layout, table, &file.peers, &controls)?);
+        }
+        let topology = layout.topology().map_err(|error| self.wrong(file.peers.all.span(), error))?;
+        Ok((topology, controls))
+    }
+
+    fn add_zone(&self, layout: &mut Layout, zone: &ZoneTable) -> Result<(), ConfigError> {
+        let added = layout.add_zone(zone.name.get_ref(), zone.region.get_ref());
+        let place = added.map_err(|error| match error {
+            LayoutError::TooManyRegions => self.wrong(zone.region.span(), error),
+            _ => self.wrong(zone.name.span(), error),
+        })?;
+        let relays = zone.relays.get_ref();
+        if relays.count == 0 {
+            return Err(self.wrong(zone.relays.span(), "expected a count of 1 or more"));
         }
-        Ok(controls)
+        let placed = layout.place_relays(place, relays.first, relays.count);
+        placed.map_err(|error| self.wrong(zone.relays.span(), error))
     }
 
-    fn topology(&self, file: &File) -> Result<Topology, ConfigError> {
-        let machine = |peer, region, zone, role| Machine { peer, place: Place { region, zone }, role };
-        let controls = file.control.get_ref().iter();
-        let controls = controls.map(|one| machine(one.peer, one.region, one.zone, Role::Control));
-        let relays = file.relay.iter().map(|one| machine(one.peer, one.region, one.zone, Role::Relay));
-        let machines: Vec<Machine> = controls.chain(relays).collect();
-        Topology::new(&machines).map_err(|error| self.wrong(file.control.span(), error))
+    fn add_control(
+        &self, layout: &mut Layout, table: &ControlTable, peers: &PeersTable,
+        others: &BTreeMap<NodeId, Control>,
+    ) -> Result<Control, ConfigError> {
+        let link = *table.address.get_ref();
+        if peers.all.get_ref().contains(&link) || others.values().any(|other| other.link == link) {
+            return Err(self.wrong(table.address.span(), format!("{link} is another machine's already")));
+        }
+        let peer = layout.add_control(table.region.get_ref());
+        let peer = peer.map_err(|error| self.wrong(table.region.span(), error))?;
+        Ok(Control { peer, consensus: table.consensus, admin: table.admin, link })
+    }
+
+    /// The key that signs changes, which relays have to know.
+    fn cluster_key(&self, file: &File) -> Result<SigningKey, ConfigError> {
+        let key = read_signing_key(&self.beside(file.cluster_key.get_ref()))
+            .map_err(|error| self.wrong(file.cluster_key.span(), error))?;
+        let public = key.verifying_key().to_bytes();
+        let listed = file.configuration.keys.get_ref().iter();
+        if listed.filter_map(|text| key_of_hex(text)).any(|key| key == public) {
+            return Ok(key);
+        }
+        let reason = format!("has not {}, the public key of cluster_key", hex::encode(public));
+        Err(self.wrong(file.configuration.keys.span(), reason))
+    }
+
+    fn link_keys(&self, file: &File) -> Result<Keys, ConfigError> {
+        let key = |table: &LinkKeyTable| {
+            let path = self.beside(table.file.get_ref());
+            let wrong =
+                |reason: String| self.wrong(table.file.span(), format!("{}: {reason}", path.display()));
+            let bytes = std::fs::read(&path).map_err(|error| wrong(error.to_string()))?;
+            if *table.id.get_ref() == 0 {
+                return Err(self.wrong(table.id.span(), "expected 1 to 255"));
+            }
+            if bytes.len() < MIN_LINK_KEY_BYTES {
+                return Err(wrong(format!("expected {MIN_LINK_KEY_BYTES} bytes or more")));
+            }
+            Ok(Key { id: *table.id.get_ref(), bytes })
+        };
+        Ok(Keys(file.peers.key.iter().map(key).collect::<Result<_, _>>()?))
     }
 
     fn consensus(
@@ -227,22 +268,10 @@
             heartbeat_ticks: file.heartbeat_ticks,
             seed: 0,
         };
-        config.validate().map_err(|error| self.wrong(file.control.span(), error))?;
+        config.validate().map_err(|error| self.wrong(file.tick_ms.span(), error))?;
         Ok(config)
     }
 
-    /// Reads a key of 64 hexadecimal digits.
-    fn key(&self, path: &Spanned<PathBuf>) -> Result<[u8; KEY_BYTES], ConfigError> {
-        let file = self.beside(path.get_ref());
-        let text = std::fs::read_to_string(&file)
-            .map_err(|error| self.wrong(path.span(), format!("{}: {error}", file.display())))?;
-        let mut key = [0; KEY_BYTES];
-        hex::decode_to_slice(text.trim(), &mut key).map_err(|_| {
-            self.wrong(path.span(), format!("{}: a key is 64 hexadecimal digits", file.display()))
-        })?;
-        Ok(key)
-    }
-
     fn beside(&self, path: &Path) -> PathBuf {
         self.file.parent().unwrap_or(Path::new("")).join(path)
     }
--- a/crates/control/src/shell/daemon.rs
+++ b/crates/control/src/shell/daemon.rs
@@ -4,8 +4,10 @@
 
 use consensus::{Micros, NodeId};
 use destinations::{ControlKeys, DestinationSet, KeyError, SignedChange};
+use fleet::Peer;
 use fleet::link::{self, Channel, Link};
-use rollout::Node;
+use fleet::note::{self, NoteError};
+use rollout::{Disagreement, Node};
 use thiserror::Error;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{mpsc, oneshot};
@@ -69,6 +71,8 @@
     waiting: BTreeMap<ProposalId, Vec<oneshot::Sender<Reply>>>,
     /// Proposals that were given a name here.
     named: u32,
+    /// Notes by the number of a sender that is not another machine of the list.
+    strangers: BTreeMap<Peer, u64>,
 }
 
 /// Runs a control machine until it is told to stop.
@@ -135,6 +139,7 @@
             senders: senders.collect(),
             waiting: BTreeMap::new(),
             named: 0,
+            strangers: BTreeMap::new(),
             config,
             clock,
             disk,
@@ -154,6 +159,9 @@
             self.poll_machine(now)?;
         }
         let now = self.clock.now_us();
+        for disagreement in self.rollout.take_disagreements() {
+            tracing::warn!("{disagreement}");
+        }
         for note in self.link.poll(now, &mut [&mut self.rollout]) {
             if let Some(address) = self.config.links.get(&note.to) {
                 // A note that cannot be sent is lost, as any may be.
@@ -201,8 +209,24 @@
     }
 
     fn hear(&mut self, note: &[u8]) {
-        // The link counts what it refuses.
-        let _ = self.link.receive(self.clock.now_us(), note, &mut [&mut self.rollout]);
+        let heard = self.link.receive(self.clock.now_us(), note, &mut [&mut self.rollout]);
+        // The link counts what it refuses. Who is not listed has a file with other machines.
+        if heard == Err(NoteError::Stranger) {
+            self.count_stranger(note);
+        }
+    }
+
+    /// Counts a note of the fleet, by the number of a sender that is not listed here, or is this machine's own.
+    fn count_stranger(&mut self, note: &[u8]) {
+        let Ok((head, _)) = note::open(&self.config.link_keys, note) else { return };
+        let count = self.strangers.entry(head.from).or_default();
+        *count += 1;
+        if *count == 1 {
+            tracing::warn!(
+                "notes come from machine {}, which is not another one in the list of machines here",
+                head.from
+            );
+        }
     }
 
     fn answer(&mut self, asked: Asked) {
@@ -272,6 +296,9 @@
             log_entries: consensus.persisted().entry_count(),
             refused_messages: consensus.counts().refused.values().sum(),
             subscribers: self.rollout.status(now).subscribers.len(),
+            misplaced: misplaced(&self.rollout),
+            strangers: self.strangers.clone(),
+            refused_notes: self.link.counts().ignored(),
         }
     }
 
@@ -289,6 +316,17 @@
     }
 }
 
+/// How often each machine was refused as a subscriber because it places this one differently.
+fn misplaced(rollout: &Node) -> BTreeMap<Peer, u64> {
+    let found = rollout.disagreements().iter();
+    found
+        .filter_map(|(found, count)| match found {
+            Disagreement::Subscriber(peer) => Some((*peer, *count)),
+            Disagreement::Upstream(_) => None,
+        })
+        .collect()
+}
+
 fn link_config(config: &Config, now: Micros) -> link::Config {
     link::Config {
         me: config.me.peer,
--- a/crates/control/src/shell/mod.rs
+++ b/crates/control/src/shell/mod.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 mod clock;
 pub mod config;
+mod config_file;
 mod consensus_link;
 pub mod daemon;
 pub mod disk;
--- a/crates/control/tests/processes/cluster.rs
+++ b/crates/control/tests/processes/cluster.rs
@@ -8,13 +8,13 @@
 use std::time::{Duration, Instant};
 
 use control::shell::admin::{Reply, Request, Status};
-use destinations::Version;
+use destinations::{SigningKey, Version};
 use tempfile::TempDir;
 
 /// Control machines of a cluster.
 pub const MACHINES: u64 = 6;
-/// The number of the relay in the fleet.
-pub const RELAY: u16 = 6;
+/// The number of the only relay in the fleet, which control machines follow.
+pub const RELAY: u16 = 0;
 /// The key of the cluster.
 pub const CLUSTER_KEY: [u8; 32] = [7; 32];
 /// The key of the link.
@@ -55,7 +55,8 @@
         let mut cluster =
             Cluster { directory, ip: ip.into(), processes: BTreeMap::new(), frozen: None, deadline };
         cluster.write("cluster.key", &hex::encode(CLUSTER_KEY));
-        cluster.write("link.key", &hex::encode(LINK_KEY));
+        std::fs::write(cluster.directory.path().join("link.key"), LINK_KEY)
+            .expect("a file in an own directory");
         for id in 1..=MACHINES {
             cluster.write(&format!("{id}.toml"), &cluster.file(id));
             cluster.launch(id);
@@ -203,22 +204,25 @@
     }
 
     fn file(&self, id: u64) -> String {
-        let ip = self.ip;
+        let (ip, relay) = (self.ip, self.link(RELAY));
+        let public = hex::encode(SigningKey::from_bytes(&CLUSTER_KEY).verifying_key().to_bytes());
         let mut file = format!(
-            "node = {id}\ndata = \"data-{id}\"\ncluster_key = \"cluster.key\"\nlink_key = \"link.key\"\n\
-             tick_ms = 20\nelection_ticks = 24\nheartbeat_ticks = 4\n"
+            "node = {id}\ndata = \"data-{id}\"\ncluster_key = \"cluster.key\"\n\
+             tick_ms = 20\nelection_ticks = 24\nheartbeat_ticks = 4\n\
+             [peers]\nall = [\"{relay}\"]\n[[peers.key]]\nid = 1\nfile = \"link.key\"\n\
+             [configuration]\nkeys = [\"{public}\"]\n\
+             [[configuration.zone]]\nname = \"a\"\nregion = \"1\"\nrelays = {{ first = 0, count = 1 }}\n"
         );
         for node in 1..=MACHINES {
-            let peer = node - 1;
             file += &format!(
-                "[[control]]\nnode = {node}\npeer = {peer}\nregion = {peer}\nzone = {peer}\n\
-                 consensus = \"{ip}:{}\"\nadmin = \"{}\"\nlink = \"{}\"\n",
+                "[[configuration.control]]\nregion = \"1\"\n\
+                 consensus = \"{ip}:{}\"\nadmin = \"{}\"\naddress = \"{}\"\n",
                 7100 + node,
                 self.admin(node),
-                self.link(peer as u16)
+                self.link(RELAY + node as u16)
             );
         }
-        file + &format!("[[relay]]\npeer = {RELAY}\nregion = 0\nzone = 9\nlink = \"{}\"\n", self.link(RELAY))
+        file
     }
 }
 
--- a/crates/control/tests/processes/relay.rs
+++ b/crates/control/tests/processes/relay.rs
@@ -59,7 +59,7 @@
 pub fn start(cluster: &Cluster) -> Relay {
     let relay = Relay { held: Arc::default(), stops: Arc::default() };
     let (held, stops) = (relay.held.clone(), relay.stops.clone());
-    let controls: Vec<_> = (0..MACHINES as u16).map(|peer| cluster.link(peer)).collect();
+    let controls: Vec<_> = (1..=MACHINES as u16).map(|machine| cluster.link(RELAY + machine)).collect();
     let socket = UdpSocket::bind(cluster.link(RELAY)).expect("an address of its own");
     std::thread::spawn(move || {
         let now = now_us();
@@ -71,7 +71,7 @@
                 let _ = link.receive(now_us(), &datagram[..length], &mut [&mut node]);
             }
             for note in link.poll(now_us(), &mut [&mut node]) {
-                let _ = socket.send_to(&note.bytes, controls[usize::from(note.to)]);
+                let _ = socket.send_to(&note.bytes, controls[usize::from(note.to - RELAY - 1)]);
             }
             let status = node.status(now_us());
             let digest = hex::encode(status.digest.0);
@@ -85,7 +85,7 @@
     let config = Config {
         me: RELAY,
         incarnation: fleet::incarnation(now),
-        peers: (0..MACHINES as u16).collect(),
+        peers: (1..=MACHINES as u16).map(|machine| RELAY + machine).collect(),
         keys: Keys(vec![Key { id: 1, bytes: LINK_KEY.to_vec() }]),
         bytes_per_s: 16 * 1024,
         asks: false,
@@ -94,11 +94,13 @@
 }
 
 fn node(now: i64) -> Node {
-    let machine = |peer: u16| match peer {
-        RELAY => Machine { peer, place: Place { region: 0, zone: 9 }, role: Role::Relay },
-        _ => Machine { peer, place: Place { region: peer as u8, zone: peer }, role: Role::Control },
+    // One region, and a zone for each machine: the relay's is the first.
+    let machine = |peer: u16| Machine {
+        peer,
+        place: Place { region: 0, zone: peer },
+        role: if peer == RELAY { Role::Relay } else { Role::Control },
     };
-    let machines: Vec<Machine> = (0..=RELAY).map(machine).collect();
+    let machines: Vec<Machine> = (RELAY..=RELAY + MACHINES as u16).map(machine).collect();
     let topology = Arc::new(Topology::new(&machines).expect("a sound list"));
     let public = SigningKey::from_bytes(&CLUSTER_KEY).verifying_key().to_bytes();
     let keys = ControlKeys::new(&[public]).expect("a sound key");
--- a/crates/rollout/src/lib.rs
+++ b/crates/rollout/src/lib.rs
@@ -1,6 +1,7 @@
 //! Distribution of numbered changes from the control machines to every relay.
 //!
-//! [`topology`] fixes the order of machines and each relay's candidates for an upstream. A relay keeps leased
+//! [`layout`] numbers the machines of an operator's file; [`topology`] fixes their order and each relay's candidates for
+//! an upstream. A relay keeps leased
 //! subscriptions at two of them (`subscription`, `subscribers`), to which new changes are pushed at once (`push`).
 //! Who lags behind asks for the changes that it lacks (`catch_up`, `change_serve`); where those are compacted away,
 //! for the buckets of a snapshot in which it differs (`snapshot_fetch`, `snapshot_serve`). The `replica` applies
@@ -15,8 +16,10 @@
 mod budget;
 mod catch_up;
 mod change_serve;
+mod disagreement;
 mod error;
 mod jitter;
+pub mod layout;
 pub mod message;
 mod node;
 mod push;
@@ -28,6 +31,7 @@
 mod subscription;
 pub mod topology;
 
+pub use disagreement::Disagreement;
 pub use error::{Counts, Kind, RolloutError};
 pub use fleet::{Micros, Peer, SECOND};
 pub use node::{Config, LOG_LIMITS, Node, SERVE_BYTES_PER_S, Status};
--- a/crates/rollout/src/node.rs
+++ b/crates/rollout/src/node.rs
@@ -1,5 +1,6 @@
 //! One machine's part in the distribution of changes: a channel on the link, without I/O or a clock of its own.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use destinations::{
@@ -13,6 +14,7 @@
 use crate::budget::Budget;
 use crate::catch_up::CatchUp;
 use crate::change_serve::ChangeServer;
+use crate::disagreement::{Disagreement, Disagreements};
 use crate::error::{Counts, Kind, RolloutError};
 use crate::jitter::Jitter;
 use crate::message::{Advert, CHANNEL, Message, Part, Refusal, Unavailable, decode};
@@ -90,6 +92,7 @@
     applied: Vec<Applied>,
     out: Vec<(Peer, Message)>,
     counts: Counts,
+    disagreements: Disagreements,
 }
 
 impl Node {
@@ -115,6 +118,7 @@
             applied: Vec::new(),
             out: Vec::new(),
             counts: Counts::default(),
+            disagreements: Disagreements::default(),
         }
     }
 
@@ -153,6 +157,16 @@
         std::mem::take(&mut self.applied)
     }
 
+    /// How often subscriptions failed as two machines place each other differently, since the start.
+    pub fn disagreements(&self) -> &BTreeMap<Disagreement, u64> {
+        self.disagreements.counts()
+    }
+
+    /// The disagreements that occurred for the first time since the last call.
+    pub fn take_disagreements(&mut self) -> Vec<Disagreement> {
+        self.disagreements.take_news()
+    }
+
     /// What was counted since the start.
     pub fn counts(&self) -> Counts {
         Counts { replaced: self.subscriptions.replaced(), ..self.counts.clone() }
@@ -191,10 +205,7 @@
                 Ok(())
             }
             Message::Advert { answers, advert } => self.on_advert(now, from, answers, advert),
-            Message::Refused { answers, .. } => match self.subscriptions.refused(now, from, answers) {
-                Answer::Current => Ok(()),
-                Answer::Unasked => Err(RolloutError::Unasked(from)),
-            },
+            Message::Refused { answers, why } => self.on_refused(now, from, answers, why),
             Message::Leave => {
                 self.subscribers.leave(from);
                 Ok(())
@@ -227,6 +238,7 @@
         let granted = if self.topology.may_serve(self.me, from) {
             self.subscribers.renew(now, from, primary, version, newest)
         } else {
+            self.disagreements.add(Disagreement::Subscriber(from));
             Err(Refusal::NotBehind)
         };
         let answer = match granted {
@@ -240,6 +252,18 @@
         self.saw(now, from, version);
     }
 
+    fn on_refused(
+        &mut self, now: Micros, from: Peer, answers: u16, why: Refusal,
+    ) -> Result<(), RolloutError> {
+        if self.subscriptions.refused(now, from, answers) == Answer::Unasked {
+            return Err(RolloutError::Unasked(from));
+        }
+        if why == Refusal::NotBehind {
+            self.disagreements.add(Disagreement::Upstream(from));
+        }
+        Ok(())
+    }
+
     fn on_advert(
         &mut self, now: Micros, from: Peer, answers: u16, advert: Advert,
     ) -> Result<(), RolloutError> {
@@ -445,6 +469,7 @@
     fn hear(&mut self, now: Micros, from: &Sender, _: &Members, bytes: &[u8]) -> bool {
         if self.topology.machine(from.peer).is_none() {
             self.counts.reject(Kind::Unasked);
+            self.disagreements.add(Disagreement::Subscriber(from.peer));
             return false;
         }
         let (messages, sound) = decode(bytes);
--- a/src/command/configuration.rs
+++ b/src/command/configuration.rs
@@ -47,6 +47,17 @@
     for (reason, count) in field("refused").as_object().into_iter().flatten() {
         println!("refused, {}: {}", reason.replace('_', " "), text(count));
     }
+    print_misplaced(field("misplaced"));
+}
+
+/// Names the machines whose list of machines is another than the relay's.
+fn print_misplaced(misplaced: &Value) {
+    let said = [("subscribers", "was refused as a subscriber"), ("upstreams", "refused this relay")];
+    for (key, what) in said {
+        for (peer, count) in misplaced.get(key).and_then(Value::as_object).into_iter().flatten() {
+            println!("machine {peer} {what} {} times: its list of machines is another one", text(count));
+        }
+    }
 }
 
 fn text(value: &Value) -> String {
--- a/src/config/distribution.rs
+++ b/src/config/distribution.rs
@@ -1,13 +1,11 @@
 //! The `[configuration]` table of an operator's file: from which control machines a relay takes the destination set, by which
 //! keys they sign it, and the place of every machine.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use destinations::{ControlKeys, MAX_CONTROL_KEYS};
-use fleet::Peer;
-use rollout::topology::{Machine, Place, Role, Topology};
+use rollout::layout::{Layout, LayoutError};
 use serde_json::Value;
 
 use super::error::{ConfigError, bad};
@@ -35,19 +33,16 @@
         return Err(bad("configuration", "needs [peers], on whose link changes come"));
     };
     let keys = read_keys(table)?;
-    let zones = read_zones(table)?;
-    let controls = read_controls(table, &zones, fleet)?;
+    let mut layout = Layout::new(fleet.all.len());
+    read_zones(table, &mut layout)?;
+    let controls = read_controls(table, &mut layout, fleet)?;
     table.finish()?;
-    let places = places(&zones, fleet.all.len())?;
-    let relays = (0..).zip(&places).map(|(peer, place)| Machine { peer, place: *place, role: Role::Relay });
-    let first_control = Peer::try_from(fleet.all.len()).unwrap_or(Peer::MAX);
-    let controls_placed = (first_control..=Peer::MAX).zip(&controls);
-    let controls_placed =
-        controls_placed.map(|(peer, (_, place))| Machine { peer, place: *place, role: Role::Control });
-    let machines: Vec<Machine> = relays.chain(controls_placed).collect();
-    let topology = Topology::new(&machines).map_err(|error| bad("configuration", error.to_string()))?;
+    let topology = layout.topology().map_err(|error| match error {
+        LayoutError::RelayWithoutZone(_) => bad("configuration.zone", error.to_string()),
+        _ => bad("configuration", error.to_string()),
+    })?;
     fleet.distribution = Some(DistributionSetup {
-        controls: controls.into_iter().map(|(address, _)| address).collect(),
+        controls,
         topology: Arc::new(topology),
         keys,
         file_room: limits.disk / FILE_PART,
@@ -79,85 +74,48 @@
     bytes?.try_into().ok()
 }
 
-/// A zone, and the relays in it.
-struct Zone<'a> {
-    table: Table<'a>,
-    region: String,
-    place: Place,
-    first: usize,
-    count: usize,
-}
-
-/// The zones, and the regions in which they lie, numbered in the order of the file.
-fn read_zones<'a>(table: &Table<'a>) -> Result<Vec<Zone<'a>>, ConfigError> {
-    let mut regions: BTreeMap<&str, u8> = BTreeMap::new();
-    let mut names: Vec<&str> = Vec::new();
-    let mut zones = Vec::new();
-    for (zone, entry) in (0..=u16::MAX).zip(table.tables("zone")?) {
-        let name = entry.text("name")?;
-        if names.contains(&name) {
-            return Err(entry.bad("name", format!("{name:?} is there twice")));
-        }
-        names.push(name);
-        let region_name = entry.text("region")?;
-        let next = u8::try_from(regions.len()).map_err(|_| entry.bad("region", "is one of more than 256"))?;
-        let region = *regions.entry(region_name).or_insert(next);
+/// Reads the zones and the relays in them, in the order of the file.
+fn read_zones(table: &Table, layout: &mut Layout) -> Result<(), ConfigError> {
+    let entries = table.tables("zone")?;
+    for entry in &entries {
+        let (name, region) = (entry.text("name")?, entry.text("region")?);
+        let place = layout.add_zone(name, region).map_err(|error| match error {
+            LayoutError::TooManyRegions => entry.bad("region", error.to_string()),
+            _ => entry.bad("name", error.to_string()),
+        })?;
         let relays = entry.table("relays")?.ok_or_else(|| entry.bad("relays", "is missing"))?;
         let first = relays.number("first", 0.0, None)? as usize;
         let count = relays.number("count", 1.0, None)? as usize;
         relays.finish()?;
         entry.finish()?;
-        let place = Place { region, zone };
-        zones.push(Zone { table: entry, region: region_name.into(), place, first, count });
+        layout.place_relays(place, first, count).map_err(|error| entry.bad("relays", error.to_string()))?;
     }
-    if zones.is_empty() { Err(table.bad("zone", "is missing")) } else { Ok(zones) }
+    if entries.is_empty() { Err(table.bad("zone", "is missing")) } else { Ok(()) }
 }
 
-/// Where control machines hear notes, and the place of each. They have no zone: each has one of its own, after those of the
-/// relays, so that a zone lies in one region.
-fn read_controls(
-    table: &Table, zones: &[Zone], fleet: &Setup,
-) -> Result<Vec<(SocketAddr, Place)>, ConfigError> {
-    let mut controls: Vec<(SocketAddr, Place)> = Vec::new();
-    for (index, entry) in table.tables("control")?.into_iter().enumerate() {
+/// Reads where control machines hear notes, in the order of the file.
+fn read_controls(table: &Table, layout: &mut Layout, fleet: &Setup) -> Result<Vec<SocketAddr>, ConfigError> {
+    let mut controls: Vec<SocketAddr> = Vec::new();
+    for entry in table.tables("control")? {
         let address = entry.address("address")?.ok_or_else(|| entry.bad("address", "is missing"))?;
-        if fleet.all.contains(&address) || controls.iter().any(|(other, _)| *other == address) {
+        if fleet.all.contains(&address) || controls.contains(&address) {
             return Err(entry.bad("address", format!("{address} is another machine's already")));
         }
-        let name = entry.text("region")?;
-        let zone = zones.iter().find(|zone| zone.region == name);
-        let region = zone.ok_or_else(|| entry.bad("region", format!("{name:?} has no zone of this file")))?;
-        let zone = u16::try_from(zones.len() + index).map_err(|_| entry.bad("address", "is one too many"))?;
-        controls.push((address, Place { region: region.place.region, zone }));
+        layout.add_control(entry.text("region")?).map_err(|error| match error {
+            LayoutError::UnknownRegion(_) => entry.bad("region", error.to_string()),
+            LayoutError::TooManyMachines => table.bad("control", error.to_string()),
+            _ => entry.bad("address", error.to_string()),
+        })?;
+        // Of use to control machines alone, whose files have the same table.
+        for key in ["consensus", "admin"] {
+            entry.address(key)?;
+        }
+        controls.push(address);
         entry.finish()?;
     }
     if controls.is_empty() {
-        return Err(table.bad("control", "is missing: no control machine is named"));
-    }
-    if fleet.all.len() + controls.len() > usize::from(Peer::MAX) {
-        return Err(table.bad("control", format!("with the relays exceeds {} machines", Peer::MAX)));
-    }
-    Ok(controls)
-}
-
-/// The place of each relay, by its number.
-fn places(zones: &[Zone], relays: usize) -> Result<Vec<Place>, ConfigError> {
-    let mut places: Vec<Option<Place>> = vec![None; relays];
-    for zone in zones {
-        let wrong = |why: String| zone.table.bad("relays", why);
-        let last = zone.first.saturating_add(zone.count);
-        let members = places.get_mut(zone.first..last);
-        let members =
-            members.ok_or_else(|| wrong(format!("goes beyond the {relays} relays of peers.all")))?;
-        for (peer, place) in (zone.first..).zip(members) {
-            if place.replace(zone.place).is_some() {
-                return Err(wrong(format!("has relay {peer}, which is in another zone already")));
-            }
-        }
-    }
-    let without = places.iter().position(Option::is_none);
-    match without {
-        Some(peer) => Err(bad("configuration.zone", format!("relay {peer} of peers.all is in no zone"))),
-        None => Ok(places.into_iter().flatten().collect()),
+        Err(table.bad("control", "is missing: no control machine is named"))
+    } else {
+        Ok(controls)
     }
 }
--- a/src/fleet/distribution/mod.rs
+++ b/src/fleet/distribution/mod.rs
@@ -93,9 +93,12 @@
         (Distribution { node, listing, untold: BTreeSet::new(), offer_at: Micros::MAX, file }, kept)
     }
 
-    /// Hands the runtime all that has changed, as one input: the destinations that it touches, as they are in the newest
+    /// Logs whom this relay places differently than they do, and hands the runtime all that has changed, as one input: the destinations that it touches, as they are in the newest
     /// version. While the runtime's queue is full the changes wait here, so that none is lost or comes out of order.
     pub(super) fn deliver(&mut self, now: Micros, inputs: &mpsc::Sender<Input>) {
+        for disagreement in self.node.take_disagreements() {
+            warn!("{disagreement}");
+        }
         for applied in self.node.take_applied() {
             self.untold.extend(applied.changes.iter().map(touched));
             self.file.changed(now);
--- a/src/fleet/distribution/status.rs
+++ b/src/fleet/distribution/status.rs
@@ -1,6 +1,6 @@
 //! What an operator is shown of the destination set on a relay.
 
-use rollout::{Kind, Micros, Node, Progress, SECOND, Upstream};
+use rollout::{Disagreement, Kind, Micros, Node, Peer, Progress, SECOND, Upstream};
 use serde_json::{Map, Value, json};
 
 /// The set that is in force, from whom it came, and what was refused. `listed` is how many destinations the runtime has;
@@ -25,9 +25,27 @@
         "installed": counts.installed,
         "replaced": counts.replaced,
         "refused": refused,
+        "misplaced": misplaced(node),
     })
 }
 
+/// Subscribers that were refused here, and upstreams that refused this relay, because two lists of machines differ.
+fn misplaced(node: &Node) -> Value {
+    let found = |of: fn(&Disagreement) -> Option<Peer>| -> Map<String, Value> {
+        let found = node.disagreements().iter();
+        found.filter_map(|(found, count)| Some((of(found)?.to_string(), json!(count)))).collect()
+    };
+    let subscribers = found(|found| match found {
+        Disagreement::Subscriber(peer) => Some(*peer),
+        Disagreement::Upstream(_) => None,
+    });
+    let upstreams = found(|found| match found {
+        Disagreement::Upstream(peer) => Some(*peer),
+        Disagreement::Subscriber(_) => None,
+    });
+    json!({"subscribers": subscribers, "upstreams": upstreams})
+}
+
 fn upstream(upstream: &Upstream) -> Value {
     json!({"peer": upstream.peer, "primary": upstream.primary,
         "version": upstream.version.map(|version| version.to_string()), "age_s": upstream.age.map(seconds)})
--- a/tests/control/cluster.rs
+++ b/tests/control/cluster.rs
@@ -22,7 +22,7 @@
 /// The key by which control machines sign changes.
 const CLUSTER_KEY: [u8; 32] = [7; 32];
 /// The key of notes between all machines.
-pub const LINK_KEY: [u8; 32] = [9; 32];
+const LINK_KEY: [u8; 32] = [9; 32];
 /// For how long one answer is awaited.
 const ANSWER_PATIENCE: Duration = Duration::from_secs(2);
 /// Between two attempts.
@@ -65,7 +65,7 @@
     /// Where the files of all machines of the test are.
     pub folder: PathBuf,
     /// The loopback address of all machines of the test.
-    pub ip: IpAddr,
+    ip: IpAddr,
     machines: BTreeMap<u64, Running>,
     proposals: u32,
     deadline: Instant,
@@ -77,9 +77,8 @@
         let folder = folder("control");
         let pid = std::process::id().to_be_bytes();
         let ip = Ipv4Addr::new(127, 1 + pid[2] % 200, pid[3], 201);
-        let hex = |key: [u8; 32]| key.iter().map(|byte| format!("{byte:02x}")).collect::<String>();
-        std::fs::write(folder.join("cluster.key"), hex(CLUSTER_KEY)).expect("a file");
-        std::fs::write(folder.join("link.key"), hex(LINK_KEY)).expect("a file");
+        std::fs::write(folder.join("cluster.key"), hex(&CLUSTER_KEY)).expect("a file");
+        std::fs::write(folder.join("peers.key"), LINK_KEY).expect("a file");
         let mut cluster =
             Cluster { folder, ip: ip.into(), machines: BTreeMap::new(), proposals: 0, deadline };
         for id in 1..=MACHINES {
@@ -95,9 +94,43 @@
         self.machines.remove(&id).expect("it runs");
     }
 
-    /// The public key of changes.
-    pub fn public_key() -> [u8; 32] {
-        SigningKey::from_bytes(&CLUSTER_KEY).verifying_key().to_bytes()
+    /// The tables that the files of all machines have in common: the relays, the key of notes and the control machines.
+    /// Keys of the table `peers` that only relays have are put before them.
+    pub fn common(&self, of_peers: &str) -> String {
+        let relays: Vec<String> = (0..RELAYS).map(|peer| format!("\"{}\"", self.link(peer))).collect();
+        let controls: String = (1..=MACHINES).map(|id| self.control_table(id)).collect();
+        let key = hex(SigningKey::from_bytes(&CLUSTER_KEY).verifying_key().as_bytes());
+        format!(
+            r#"
+[peers]
+{of_peers}
+all = [{}]
+[[peers.key]]
+id = 3
+file = "peers.key"
+[configuration]
+keys = ["{key}"]
+{controls}
+[[configuration.zone]]
+name = "salalah-a"
+region = "salalah"
+relays = {{ first = 2, count = 1 }}
+[[configuration.zone]]
+name = "muscat-a"
+region = "muscat"
+relays = {{ first = 0, count = 2 }}
+"#,
+            relays.join(", ")
+        )
+    }
+
+    fn control_table(&self, id: u64) -> String {
+        let (ip, admin, link) = (self.ip, self.admin(id), self.link(RELAYS + id as u16 - 1));
+        let consensus = 7100 + id;
+        format!(
+            "[[configuration.control]]\naddress = \"{link}\"\nregion = \"muscat\"\n\
+             consensus = \"{ip}:{consensus}\"\nadmin = \"{admin}\"\n"
+        )
     }
 
     /// Where a machine of the fleet listens for notes.
@@ -105,11 +138,6 @@
         SocketAddr::new(self.ip, 7200 + peer)
     }
 
-    /// The number in the fleet of a control machine.
-    pub fn peer(id: u64) -> u16 {
-        RELAYS + id as u16 - 1
-    }
-
     /// The machine that leads by the word of all that run.
     pub fn leader(&self) -> u64 {
         loop {
@@ -169,28 +197,14 @@
     }
 
     fn file(&self, id: u64) -> String {
-        let ip = self.ip;
-        let mut file = format!(
-            "node = {id}\ndata = \"data-{id}\"\ncluster_key = \"cluster.key\"\nlink_key = \"link.key\"\n\
-             tick_ms = 20\nelection_ticks = 24\nheartbeat_ticks = 4\n"
-        );
-        for node in 1..=MACHINES {
-            file += &format!(
-                "[[control]]\nnode = {node}\npeer = {}\nregion = 0\nzone = {}\n\
-                 consensus = \"{ip}:{}\"\nadmin = \"{}\"\nlink = \"{}\"\n",
-                Self::peer(node),
-                node + 1,
-                7100 + node,
-                self.admin(node),
-                self.link(Self::peer(node)),
-            );
-        }
-        for (peer, (region, zone)) in [(0, 0), (0, 0), (1, 1)].into_iter().enumerate() {
-            file += &format!(
-                "[[relay]]\npeer = {peer}\nregion = {region}\nzone = {zone}\nlink = \"{}\"\n",
-                self.link(peer as u16)
-            );
-        }
-        file
+        let common = self.common("");
+        format!(
+            "node = {id}\ndata = \"data-{id}\"\ncluster_key = \"cluster.key\"\n\
+             tick_ms = 20\nelection_ticks = 24\nheartbeat_ticks = 4\n{common}"
+        )
     }
 }
+
+fn hex(key: &[u8; 32]) -> String {
+    key.iter().map(|byte| format!("{byte:02x}")).collect()
+}
--- a/tests/control/relays.rs
+++ b/tests/control/relays.rs
@@ -9,7 +9,7 @@
 
 use serde_json::Value;
 
-use crate::cluster::{Cluster, LINK_KEY, MACHINES, RELAYS};
+use crate::cluster::{Cluster, RELAYS};
 use crate::stand::partner::Partner;
 use crate::stand::{FAR, Program, ask, connect, handed_in};
 
@@ -28,7 +28,6 @@
     /// Writes the files and starts all relays. The files list one endpoint of destination 1.
     pub fn start(cluster: &Cluster, listed: SocketAddr, deadline: Instant) -> Self {
         let folder = cluster.folder.clone();
-        std::fs::write(folder.join("peers.key"), LINK_KEY).expect("a file");
         let mut relays = Relays { folder, programs: Vec::new(), deadline };
         for number in 0..RELAYS {
             let text = relay_file(number, cluster, listed);
@@ -109,15 +108,8 @@
 }
 
 fn relay_file(me: u16, cluster: &Cluster, listed: SocketAddr) -> String {
-    let listen = cluster.link(me);
-    let all: Vec<String> = (0..RELAYS).map(|peer| format!("\"{}\"", cluster.link(peer))).collect();
-    let all = all.join(", ");
-    let key: String = Cluster::public_key().iter().map(|byte| format!("{byte:02x}")).collect();
-    let control = |id| {
-        let address = cluster.link(Cluster::peer(id));
-        format!("[[configuration.control]]\naddress = \"{address}\"\nregion = \"muscat\"\n")
-    };
-    let controls: String = (1..=MACHINES).map(control).collect();
+    let of_peers = format!("me = {me}\nlisten = \"{}\"\ncontrol = \"n{me}.control\"", cluster.link(me));
+    let common = cluster.common(&of_peers);
     format!(
         r#"
 name = "n{me}"
@@ -138,25 +130,7 @@
 number = 1
 per_s = 50
 endpoints = ["{listed}"]
-[peers]
-me = {me}
-listen = "{listen}"
-all = [{all}]
-control = "n{me}.control"
-[[peers.key]]
-id = 1
-file = "peers.key"
-[configuration]
-keys = ["{key}"]
-{controls}
-[[configuration.zone]]
-name = "muscat-a"
-region = "muscat"
-relays = {{ first = 0, count = 2 }}
-[[configuration.zone]]
-name = "salalah-a"
-region = "salalah"
-relays = {{ first = 2, count = 1 }}
+{common}
 "#
     )
 }
