--- a/tests/config.rs
+++ b/tests/config.rs
@@ -316,3 +316,44 @@
     let config = Config::load_file(&file, none).expect("sound");
     assert!(config.fleet.expect("a fleet").distribution.is_none());
 }
+
+/// The file of a control machine that the repository brings, beside its keys.
+fn deployed_control() -> control::shell::config::Config {
+    let place = folder("config-control");
+    let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR"));
+    let name = "muscat-checkin-control.toml";
+    let text = std::fs::read_to_string(root.join("deploy").join(name)).expect("the file");
+    // The public key of the example is of no known key: that of a test takes its place.
+    let example = "72a46be3bd9848afd1d5c94e495aa1f57c24bcb4006f959de6e94995afafab44";
+    assert!(text.contains(example));
+    let public = "ea4a6c63e29c520abef5507b132ec5f9954776aebebe7b92421eea691446d22c";
+    std::fs::write(place.join("muscat-checkin-peers.key"), [7; 32]).expect("a file");
+    std::fs::write(place.join("muscat-checkin-control.key"), "07".repeat(32)).expect("a file");
+    std::fs::write(place.join(name), text.replace(example, public)).expect("a file");
+    control::shell::config::Config::read(&place.join(name)).expect("sound")
+}
+
+#[test]
+fn the_files_of_relays_and_control_machines_fit_each_other() {
+    let relay = read_distribution("", "").expect("sound").fleet.expect("a fleet");
+    let distribution = relay.distribution.as_ref().expect("set up");
+    let control = deployed_control();
+    let machines = |topology: &rollout::topology::Topology| topology.machines().copied().collect::<Vec<_>>();
+    assert_eq!(machines(&control.topology), machines(&distribution.topology));
+    // Notes of all machines go where the others listen, signed by the same keys.
+    let links: Vec<_> = relay.all.iter().chain(&distribution.controls).copied().collect();
+    let mut control_links = control.links.clone();
+    control_links.insert(control.me.peer, control.me.link);
+    assert_eq!(control_links.into_values().collect::<Vec<_>>(), links);
+    let keys = |keys: &fleet::keys::Keys| -> Vec<(u8, Vec<u8>)> {
+        keys.0.iter().map(|key| (key.id, key.bytes.clone())).collect()
+    };
+    assert_eq!(keys(&control.link_keys), keys(&relay.keys));
+    // The tables that have to be the same are so to the letter.
+    let common = |name: &str| {
+        let text = std::fs::read_to_string(format!("{}/deploy/{name}", env!("CARGO_MANIFEST_DIR")));
+        let table: toml::Table = text.expect("the file").parse().expect("TOML");
+        (table["configuration"].clone(), table["peers"]["all"].clone(), table["peers"]["key"].clone())
+    };
+    assert_eq!(common("muscat-checkin-control.toml"), common("muscat-checkin-configuration.toml"));
+}
