--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -2,7 +2,9 @@
 
 pub mod configuration;
 pub mod control;
+pub mod control_machine;
 pub mod peers;
+pub mod publishing;
 pub mod record;
 pub mod run;
 pub mod turns;
--- a/src/command/turns.rs
+++ b/src/command/turns.rs
@@ -1,5 +1,6 @@
 //! Orders to the fleet's turns, over the control socket of any relay. Owns what they print and how they exit.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
@@ -8,6 +9,7 @@
 
 use super::Failure;
 use super::control::Socket;
+use super::publishing::{self, Machines, Named};
 
 /// The relay did not get its turn, or is not back, in the time that was given.
 const NOT_YET: u8 = 3;
@@ -69,6 +71,34 @@
         #[command(flatten)]
         socket: Socket,
     },
+    /// Publishes operations on the destination set at the control machines, as one change that is in force whole
+    Publish {
+        #[command(flatten)]
+        machines: Machines,
+        #[command(flatten)]
+        named: Named,
+        /// A JSON array of operations
+        #[arg(value_name = "OPERATIONS.json")]
+        file: PathBuf,
+    },
+    /// Undoes all changes of the destination set after one, by a change of its own
+    Rollback {
+        #[command(flatten)]
+        machines: Machines,
+        #[command(flatten)]
+        named: Named,
+        /// The number of the last change that stays: 41 for version 0.41
+        #[arg(value_name = "NUMBER")]
+        to: u64,
+    },
+    /// Shows each second how the control machines are: who leads, which version they have, and whom they refuse
+    Watch {
+        #[command(flatten)]
+        machines: Machines,
+        /// One look only
+        #[arg(long)]
+        once: bool,
+    },
     /// Wishes every relay out, or every relay of a zone, one after the other as the fleet settles it
     Roll {
         #[command(flatten)]
@@ -213,6 +243,9 @@
         Fleet::Show { socket } => super::peers::show(socket, "shares"),
         Fleet::Turns { socket } => order(socket, &json!({"turns": "show"})),
         Fleet::Configuration { socket } => super::configuration::show(socket),
+        Fleet::Publish { machines, named, file } => publishing::publish(machines, named, file),
+        Fleet::Rollback { machines, named, to } => publishing::roll_back(machines, named, *to),
+        Fleet::Watch { machines, once } => publishing::watch(machines, *once),
         Fleet::Roll { socket, zone, kind: what, .. } => {
             order(socket, &json!({"turns": "roll", "zone": zone, "kind": kind(*what)}))
         }
--- a/tests/control/cluster.rs
+++ b/tests/control/cluster.rs
@@ -4,6 +4,8 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -28,6 +30,9 @@
 /// Between two attempts.
 const PAUSE: Duration = Duration::from_millis(20);
 
+/// The last part of the next cluster's loopback address; each of this process has one of its own.
+static CLUSTERS: AtomicU8 = AtomicU8::new(201);
+
 /// A control machine that runs until it is dropped.
 struct Running {
     stop: Option<oneshot::Sender<()>>,
@@ -73,10 +78,10 @@
 
 impl Cluster {
     /// Writes the files and starts all machines. They have to do all that the test asks by the deadline.
-    pub fn start(deadline: Instant) -> Self {
-        let folder = folder("control");
+    pub fn start(name: &str, deadline: Instant) -> Self {
+        let folder = folder(name);
         let pid = std::process::id().to_be_bytes();
-        let ip = Ipv4Addr::new(127, 1 + pid[2] % 200, pid[3], 201);
+        let ip = Ipv4Addr::new(127, 1 + pid[2] % 200, pid[3], CLUSTERS.fetch_add(1, Ordering::Relaxed));
         std::fs::write(folder.join("cluster.key"), hex(&CLUSTER_KEY)).expect("a file");
         std::fs::write(folder.join("peers.key"), LINK_KEY).expect("a file");
         let mut cluster =
@@ -168,6 +173,25 @@
         }
     }
 
+    /// What the program says and whether it succeeds, with the addresses where all machines listen for operators.
+    pub fn command(&self, arguments: &[&str]) -> (bool, String) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_tulipfall"));
+        command.arg("fleet").args(arguments);
+        for id in 1..=MACHINES {
+            command.args(["--control", &self.admin(id).to_string()]);
+        }
+        let output = command.output().expect("it runs");
+        let said = [output.stdout, output.stderr].concat();
+        (output.status.success(), String::from_utf8_lossy(&said).into_owned())
+    }
+
+    /// Looks by that command until what it says has that text.
+    pub fn says(&self, arguments: &[&str], text: &str) {
+        while !self.command(arguments).1.contains(text) {
+            self.pause();
+        }
+    }
+
     /// The digest of the set on the leader.
     pub fn digest(&self) -> String {
         let status = self.status(self.leader()).expect("its status");
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -47,7 +47,7 @@
     let started = Instant::now();
     let (listed, first, second, last) =
         (Partner::start(), Partner::start(), Partner::start(), Partner::start());
-    let mut cluster = Cluster::start(started + PATIENCE);
+    let mut cluster = Cluster::start("control", started + PATIENCE);
     let mut relays = Relays::start(&cluster, listed.address, started + PATIENCE);
     relays.all_deliver("before", &listed);
 
@@ -78,5 +78,54 @@
     in_force("with the leader down", &mut cluster, publish, &relays, "0.5");
     relays.all_deliver("last", &last);
     relays.agree_with(&cluster);
+    operate_by_commands(&cluster, &relays, (&second, &last));
     println!("the whole took {:?}", started.elapsed());
 }
+
+/// The same by the program's commands, which any machine may be asked by, while one is down.
+fn operate_by_commands(cluster: &Cluster, relays: &Relays, (before, after): (&Partner, &Partner)) {
+    let rolled_back = cluster.command(&["rollback", "4"]);
+    assert_eq!(rolled_back, (true, "version 0.6\n".to_owned()));
+    relays.all_reach("0.6");
+    relays.all_deliver("by-rollback", before);
+
+    let file = cluster.folder.join("operations.json");
+    let path = file.display().to_string();
+    let operations = json!([put(after.address), remove(before.address)]);
+    std::fs::write(&file, operations.to_string()).expect("a file");
+    let publish = ["publish", path.as_str(), "--id", "00000000000000000000000000000abc"];
+    assert_eq!(cluster.command(&publish), (true, "version 0.7\n".to_owned()));
+    assert_eq!(
+        cluster.command(&publish),
+        (true, "version 0.7\n".to_owned()),
+        "by the same id it is the same change"
+    );
+    relays.all_reach("0.7");
+    relays.all_deliver("by-publish", after);
+
+    let unfit = json!([remove(before.address)]);
+    for (text, why) in [
+        (unfit.to_string(), "refused: the operations do not apply"),
+        ("[]".to_owned(), "operations.json: has no operations"),
+        ("{}".to_owned(), "operations.json: expected an array of operations"),
+    ] {
+        std::fs::write(&file, text).expect("a file");
+        let (done, said) = cluster.command(&["publish", &path]);
+        assert!(!done && said.contains(why), "{said}");
+    }
+    let (all_answer, said) = cluster.command(&["watch", "--once"]);
+    assert!(!all_answer && said.contains("no control machine answers"), "one is down: {said}");
+    assert!(said.contains("version 0.7, 1 destinations"), "{said}");
+    assert!(!said.contains("listed"), "all have the same list: {said}");
+}
+
+#[test]
+fn a_relay_whose_file_lists_other_machines_is_named_by_the_control_machines() {
+    let deadline = Instant::now() + PATIENCE;
+    let cluster = Cluster::start("control-misplaced", deadline);
+    // It takes the first control machine's number for its own.
+    let _relay = Relays::start_one_too_many(&cluster);
+    let watch = ["watch", "--once"];
+    cluster.says(&watch, "refused, listed elsewhere: 3");
+    cluster.says(&watch, "not listed: 3");
+}
--- a/tests/control/relays.rs
+++ b/tests/control/relays.rs
@@ -38,6 +38,19 @@
         relays
     }
 
+    /// Starts a relay by a file that lists one relay more than the files of the control machines.
+    pub fn start_one_too_many(cluster: &Cluster) -> Program {
+        let text = relay_file(RELAYS, cluster, cluster.link(100));
+        let (last, more) = (cluster.link(RELAYS - 1), cluster.link(99));
+        let more = text
+            .replace(&format!("\"{last}\"]"), &format!("\"{last}\", \"{more}\"]"))
+            .replace("first = 2, count = 1", "first = 2, count = 2")
+            .replace(&format!("listen = \"{}\"", cluster.link(RELAYS)), &format!("listen = \"{more}\""));
+        let file = cluster.folder.join("one-too-many.toml");
+        std::fs::write(&file, more).expect("a file");
+        Program::start(&["run", "--config", &file.display().to_string()], &[], 1)
+    }
+
     /// Starts one relay.
     pub fn launch(&mut self, number: usize) {
         let file = self.file(number).display().to_string();
