Check that no message went to an endpoint of another version, and name wrong addresses in tests

The test of control machines and relays together looked at the endpoint in force alone; now all four endpoints must have heard nothing else by its end. The relay's file has two addresses more of a control machine, whose faults had no test.

--- a/tests/config.rs
+++ b/tests/config.rs
@@ -227,6 +227,12 @@
             "control-0",
             "configuration.control.0.address: is \"control-0\", expected address:port",
         ),
+        (
+            "consensus = \"127.0.0.1:7966\"",
+            "consensus = \"control-0\"",
+            "configuration.control.0.consensus: is \"control-0\", expected address:port",
+        ),
+        ("admin = \"127.0.0.1:7977\"", "admin = 7977", "configuration.control.1.admin: "),
         (
             "127.0.0.1:7957",
             "127.0.0.1:7956",
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -79,6 +79,9 @@
     relays.all_deliver("last", &last);
     relays.agree_with(&cluster);
     operate_by_commands(&cluster, &relays, (&second, &last));
+    for partner in [&listed, &first, &second, &last] {
+        assert!(partner.heard.try_recv().is_err(), "each message came once, to the endpoint in force then");
+    }
     println!("the whole took {:?}", started.elapsed());
 }
 
--- a/tests/control/relays.rs
+++ b/tests/control/relays.rs
@@ -73,7 +73,7 @@
         }
     }
 
-    /// Hands each relay a message for destination 1, which that partner hears and no other.
+    /// Hands each relay a message for destination 1, which that partner hears next.
     pub fn all_deliver(&self, what: &str, partner: &Partner) {
         for number in self.running() {
             let id = format!("{what}-{number}");
