Mend the check for messages at endpoints of another version, which was red

A message that a relay was killed with was repeated, as its class allows, and to the endpoint of the file's list, as the relay was killed before it had kept any version. The product does what its page says: the file of the set is written half a second after a change and at most every four seconds, and without one the file's list counts. The check was wrong to expect otherwise.

The test now waits until the version is kept, and then kills the relay; a repeat has to go to the endpoint of that version, and no other message may come twice or elsewhere.

--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -63,7 +63,8 @@
     in_force("a rollback", &mut cluster, json!({"rollback": {"to": 1}}), &relays, "0.3");
     relays.all_deliver("rolled-back", &first);
 
-    // One relay is down meanwhile, and hears of the change when it is back.
+    // One relay is down meanwhile, goes on with the version that it kept, and hears of the change when it is back.
+    relays.keeps(2, 3);
     relays.kill(2);
     let publish = json!({"publish": {"operations": [put(second.address), remove(first.address)]}});
     in_force("with a relay down", &mut cluster, publish, &relays, "0.4");
@@ -79,9 +80,11 @@
     relays.all_deliver("last", &last);
     relays.agree_with(&cluster);
     operate_by_commands(&cluster, &relays, (&second, &last));
-    for partner in [&listed, &first, &second, &last] {
-        assert!(partner.heard.try_recv().is_err(), "each message came once, to the endpoint in force then");
-    }
+    // Else each message came once, to the endpoint in force then. The one that a relay was killed with may come again, as its
+    // class allows: the relay goes on with the version that it kept.
+    let more = [&listed, &first, &second, &last].map(|partner| partner.heard.try_iter().collect::<Vec<_>>());
+    let again = more.concat();
+    assert!(again.is_empty() || (again == more[1] && again == ["rolled-back-2"]), "{more:?}");
     println!("the whole took {:?}", started.elapsed());
 }
 
--- a/tests/control/relays.rs
+++ b/tests/control/relays.rs
@@ -73,6 +73,16 @@
         }
     }
 
+    /// Waits until a relay has that change of the first epoch in its file, so that it starts with it.
+    pub fn keeps(&self, number: usize, change: u64) {
+        let file = self.folder.join(format!("n{number}.state")).join("configuration.version");
+        let kept = || -> Option<Value> { serde_json::from_str(&std::fs::read_to_string(&file).ok()?).ok() };
+        while kept().is_none_or(|kept| kept["number"] != change) {
+            assert!(Instant::now() < self.deadline, "relay {number} does not keep change {change}");
+            std::thread::sleep(LOOK);
+        }
+    }
+
     /// Hands each relay a message for destination 1, which that partner hears next.
     pub fn all_deliver(&self, what: &str, partner: &Partner) {
         for number in self.running() {
