--- a/crates/scale/src/slopes.rs
+++ b/crates/scale/src/slopes.rs
@@ -2,7 +2,7 @@
 //!
 //! A [`plan`] changes one size at a time from a small base. [`execute`] measures its points, [`assess`] fits a form to
 //! each quantity on the smaller half of the sizes and holds its prediction against the largest that was measured. [`projection`] combines the axes for the coming size.
-//! [`file`] keeps the outcome as JSON and [`table`] prints it.
+//! [`mod@file`] keeps the outcome as JSON and [`table`] prints it.
 
 pub mod assess;
 pub mod axis;
--- a/crates/scale/src/slopes/table.rs
+++ b/crates/scale/src/slopes/table.rs
@@ -108,7 +108,7 @@
     table
 }
 
-/// A figure with [`DIGITS`] significant digits, and commas between thousands.
+/// A figure with three significant digits, and commas between thousands.
 pub fn figure(value: f64) -> String {
     if value == 0.0 || !value.is_finite() {
         return format!("{value}");
