--- a/crates/scale/src/command/days.rs
+++ b/crates/scale/src/command/days.rs
@@ -27,6 +27,12 @@
     /// A fleet of 60 relays, in under a minute.
     #[arg(long)]
     quick: bool,
+    /// A fleet in place of the built-in one, a scenario of `scale rollout`.
+    #[arg(long, conflicts_with = "quick")]
+    fleet: Option<PathBuf>,
+    /// Destinations of each relay, in place of the fleet's and of each day's.
+    #[arg(long)]
+    destinations: Option<u32>,
     /// Runs only the day of this name.
     #[arg(long)]
     only: Option<String>,
@@ -65,7 +71,10 @@
 /// Runs the days one after the other; the exit status tells whether all was as before after each. A day that gives no outcome
 /// is named in the file, and keeps no other from being run.
 pub fn days(args: &DaysArgs) -> anyhow::Result<ExitCode> {
-    let fleet = built_in_fleet(args.quick)?;
+    let fleet = match &args.fleet {
+        Some(path) => RolloutScenario::read(path)?,
+        None => built_in_fleet(args.quick)?,
+    };
     let (commit, machine) = (commit(), Machine::observe());
     let days = chosen(args)?;
     let (command, seed) = (command_line(args), args.seed);
@@ -90,6 +99,9 @@
         Some(path) => vec![Day::read(path)?],
         None => built_in_days()?,
     };
+    if args.destinations.is_some() {
+        days.iter_mut().for_each(|day| day.destinations = args.destinations);
+    }
     if let Some(changes) = args.changes_per_day {
         let busy = days.iter_mut().filter(|day| day.changes_per_day.is_some());
         busy.for_each(|day| day.changes_per_day = Some(changes));
@@ -118,12 +130,18 @@
 
 /// The command as to be typed again: what it measures, not where the outcome goes.
 fn command_line(args: &DaysArgs) -> String {
+    let path = |path: &PathBuf| path.display().to_string();
+    let given = [
+        ("fleet", args.fleet.as_ref().map(path)),
+        ("destinations", args.destinations.map(|destinations| destinations.to_string())),
+        ("only", args.only.clone()),
+        ("day", args.day.as_ref().map(path)),
+        ("changes-per-day", args.changes_per_day.map(|changes| changes.to_string())),
+        ("seed", Some(args.seed.to_string())),
+    ];
+    let given = given.into_iter().filter_map(|(name, value)| Some(format!(" --{name} {}", value?)));
     let quick = if args.quick { " --quick" } else { "" };
-    let only = args.only.as_ref().map_or_else(String::new, |only| format!(" --only {only}"));
-    let day = args.day.as_ref().map_or_else(String::new, |path| format!(" --day {}", path.display()));
-    let changes =
-        args.changes_per_day.map_or_else(String::new, |changes| format!(" --changes-per-day {changes}"));
-    format!("scale days{quick}{only}{day}{changes} --seed {}", args.seed)
+    format!("scale days{quick}{}", given.collect::<String>())
 }
 
 /// How long until all was as before, and what was wrong.
