--- a/crates/scale/src/slopes/plan.rs
+++ b/crates/scale/src/slopes/plan.rs
@@ -126,15 +126,15 @@
 }
 
 fn members_quick() -> Group {
-    let base = Conditions { relays: 80, destinations: 1_000, events_per_relay: 130.0, ..Conditions::TARGET };
+    let base = Conditions { relays: 80, destinations: 1_000, events_per_relay: 50.0, ..Conditions::TARGET };
     members(
         base,
         &[80.0, 90.0, 100.0, 115.0, 130.0, 150.0, 175.0, 200.0],
         &[350.0, 500.0, 700.0, 1_000.0, 1_400.0, 2_000.0, 2_800.0, 4_000.0],
-        &[65.0, 80.0, 100.0, 130.0, 170.0, 220.0, 300.0, 400.0],
+        &[20.0, 30.0, 40.0, 50.0, 70.0, 100.0, 140.0, 200.0],
         [
-            Conditions { relays: 100, destinations: 1_500, events_per_relay: 150.0, ..base },
-            Conditions { relays: 150, destinations: 3_000, events_per_relay: 200.0, ..base },
+            Conditions { relays: 100, destinations: 1_500, events_per_relay: 60.0, ..base },
+            Conditions { relays: 150, destinations: 3_000, events_per_relay: 80.0, ..base },
         ],
     )
 }
