--- a/crates/rollout/src/catch_up.rs
+++ b/crates/rollout/src/catch_up.rs
@@ -39,7 +39,9 @@
     /// A machine has that version.
     pub fn seen(&mut self, now: Micros, peer: Peer, theirs: Version, ours: Version) {
         if theirs > ours {
-            self.ahead.insert(peer, theirs);
+            // Fragments of older changes come behind newer ones; they do not make the machine lag behind.
+            let newest = self.ahead.entry(peer).or_insert(theirs);
+            *newest = theirs.max(*newest);
             self.since.get_or_insert(now);
         }
     }
--- a/crates/rollout/src/snapshot_fetch.rs
+++ b/crates/rollout/src/snapshot_fetch.rs
@@ -25,6 +25,9 @@
 const MOST_TIMEOUTS: u32 = 4;
 /// A source that is busy or silent is left out for so long, in microseconds.
 const SOURCE_AVOIDED: Micros = 10 * SECOND;
+/// Buckets in a row that a source may not have before it is left out for a while. A source that has an empty or much older set would
+/// otherwise be asked for each bucket in turn.
+const MOST_NOT_HELD: u32 = 4;
 /// A fetch that took nothing in for so long is given up, in microseconds; the next one takes a newer version.
 const GIVEN_UP: Micros = 30 * SECOND;
 /// The largest manifest with the change that vouches for it, in bytes.
@@ -77,6 +80,8 @@
     avoided: BTreeMap<Peer, Micros>,
     /// Buckets of which a source has another state.
     not_held: BTreeSet<(Peer, Part)>,
+    /// Buckets in a row that a source did not have.
+    misses: BTreeMap<Peer, u32>,
     number: u16,
     progressed: Micros,
 }
@@ -90,6 +95,7 @@
             requests: BTreeMap::new(),
             avoided: BTreeMap::new(),
             not_held: BTreeSet::new(),
+            misses: BTreeMap::new(),
             number: 0,
             progressed: now,
         }
@@ -148,6 +154,7 @@
         let whole = assembly.take(usize::from(index), usize::from(count), bytes)?;
         (request.at, request.timeouts) = (now, 0);
         self.progressed = now;
+        self.misses.remove(&from);
         let Some(bytes) = whole else { return Ok(Fetched::Part) };
         let part = request.part;
         self.requests.remove(&from);
@@ -166,11 +173,22 @@
         let Some(Request { part, .. }) = self.requests.remove(&from) else { return };
         if why == Unavailable::NotHeld && part != Part::Manifest {
             self.not_held.insert((from, part));
+            self.missed(now, from);
         } else {
             self.avoided.insert(from, now + SOURCE_AVOIDED);
         }
     }
 
+    /// A source did not have a bucket once more.
+    fn missed(&mut self, now: Micros, from: Peer) {
+        let misses = self.misses.entry(from).or_default();
+        *misses += 1;
+        if *misses >= MOST_NOT_HELD {
+            self.misses.remove(&from);
+            self.avoided.insert(from, now + SOURCE_AVOIDED);
+        }
+    }
+
     fn take_part(&mut self, replica: &Replica, part: Part, bytes: &[u8]) -> Result<Fetched, RolloutError> {
         match (part, &mut self.stage) {
             (Part::Manifest, Stage::Manifest) => {
--- a/crates/rollout/tests/world/mod.rs
+++ b/crates/rollout/tests/world/mod.rs
@@ -78,6 +78,8 @@
     pub in_force: BTreeMap<(Peer, Version), Micros>,
     pub committed: BTreeMap<Version, Micros>,
     pub sent: BTreeMap<Peer, u64>,
+    /// Requests for parts of a snapshot that a machine could not serve.
+    pub unavailable: BTreeMap<Peer, u64>,
     pub most_subscribers: usize,
 }
 
@@ -131,6 +133,7 @@
             in_force: BTreeMap::new(),
             committed: BTreeMap::new(),
             sent: BTreeMap::new(),
+            unavailable: BTreeMap::new(),
             most_subscribers: 0,
         };
         world.all().into_iter().for_each(|peer| world.start(peer));
@@ -366,6 +369,7 @@
         self.most_subscribers = self.most_subscribers.max(node.status(now).subscribers.len());
         for datagram in out {
             *self.sent.entry(peer).or_default() += datagram.bytes.len() as u64;
+            *self.unavailable.entry(peer).or_default() += unavailable(&datagram.bytes);
             self.transmit(peer, datagram.to, datagram.bytes);
         }
         if self.wakes.get(&peer).is_none_or(|at| *at > next || *at <= now) {
@@ -407,3 +411,12 @@
         assert!(subscribers <= MOST_SUBSCRIBERS, "machine {peer} has {subscribers} subscribers");
     }
 }
+
+/// Messages of a datagram by which a machine says that it does not have a part of a snapshot.
+fn unavailable(datagram: &[u8]) -> u64 {
+    let (_, frames) = fleet::note::open(&Keys::default(), datagram).expect("it was sealed just now");
+    let frames = frames.into_iter().filter(|(channel, _)| *channel == rollout::message::CHANNEL);
+    let messages = frames.flat_map(|(_, bytes)| rollout::message::decode(bytes).0);
+    messages.filter(|message| matches!(message, rollout::message::Message::PartUnavailable { .. })).count()
+        as u64
+}
