Give two tests that read one operator's file a folder each, as one emptied it under the other

It and the_files_of_relays_and_control_machines_fit_each_other both call read_distribution, which emptied one folder; they run side by side.

Change: each names its folder. folder() of the test stand now refuses a name that another test of the same program has used, so that such a pair fails each time and not now and then.

--- a/tests/config.rs
+++ b/tests/config.rs
@@ -185,9 +185,10 @@
     assert!(error.starts_with("TULIPFALL_REPEATS") && error.contains("shared or off"), "{error}");
 }
 
-/// Reads the operator's file with the distribution of the destination set, after an edit.
-fn read_distribution(old: &str, new: &str) -> Result<Config, String> {
-    let place = folder("config-distribution");
+/// Reads the operator's file with the distribution of the destination set, after an edit, in a folder of the calling
+/// test's own: tests run side by side, and each empties its folder first.
+fn read_distribution(folder_name: &str, old: &str, new: &str) -> Result<Config, String> {
+    let place = folder(folder_name);
     let root = std::path::Path::new(env!("CARGO_MANIFEST_DIR"));
     let name = "muscat-checkin-configuration.toml";
     let text = std::fs::read_to_string(root.join("deploy").join(name)).expect("the file");
@@ -199,7 +200,8 @@
 
 #[test]
 fn the_distribution_of_the_destination_set_is_set_up_by_a_table_and_each_fault_is_named() {
-    let config = read_distribution("", "").expect("sound");
+    let place = "config-distribution";
+    let config = read_distribution(place, "", "").expect("sound");
     let distribution = config.fleet.as_ref().and_then(|fleet| fleet.distribution.as_ref()).expect("set up");
     assert_eq!(distribution.controls.len(), 3);
     // A sixteenth of the disk for each of two files, and the rest is shared as ever.
@@ -282,7 +284,7 @@
         ),
     ];
     for (old, new, expected) in cases {
-        let error = read_distribution(old, new).expect_err(new);
+        let error = read_distribution(place, old, new).expect_err(new);
         assert!(error.starts_with(expected), "{new}: {error}");
     }
 }
@@ -341,7 +343,7 @@
 
 #[test]
 fn the_files_of_relays_and_control_machines_fit_each_other() {
-    let relay = read_distribution("", "").expect("sound").fleet.expect("a fleet");
+    let relay = read_distribution("config-distribution-fit", "", "").expect("sound").fleet.expect("a fleet");
     let distribution = relay.distribution.as_ref().expect("set up");
     let control = deployed_control();
     let machines = |topology: &rollout::topology::Topology| topology.machines().copied().collect::<Vec<_>>();
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -6,17 +6,29 @@
 pub mod partner;
 pub mod site;
 
+use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
 /// No step of a test takes so long.
 pub const FAR: Duration = Duration::from_secs(30);
 
-/// A folder of its own for each test, emptied first.
+/// The test that first asked for each folder name, by the name of its thread.
+static FOLDER_OWNERS: Mutex<BTreeMap<String, String>> = Mutex::new(BTreeMap::new());
+
+/// A folder of its own for each test, emptied first. A name that another test has already used is refused, as tests run
+/// side by side and one would empty the folder under the other; where tests share one thread they have one name and
+/// cannot collide.
 pub fn folder(name: &str) -> PathBuf {
+    let test = std::thread::current().name().unwrap_or("unnamed").to_string();
+    let mut owners = FOLDER_OWNERS.lock().unwrap_or_else(PoisonError::into_inner);
+    let owner = owners.entry(name.to_string()).or_insert_with(|| test.clone()).clone();
+    drop(owners);
+    assert_eq!(owner, test, "the folder {name} belongs to another test");
     let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
     let _ = std::fs::remove_dir_all(&path);
     std::fs::create_dir_all(&path).expect("a folder");
