--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,12 +1,12 @@
 //! The transport between relays: datagrams (notes) of at most 256 bytes on one socket, which may be lost, duplicated,
 //! delayed or forged.
 //!
-//! [`keys`] authenticates, [`note`] is the wire format, [`members`] the membership, [`lateness`] the estimate of
+//! [`keys`] authenticates, [`note`] is the wire format, [`members`] the membership, [`updates`] what is passed on of it, [`lateness`] the estimate of
 //! delays, and [`link`] puts them together under one limit of bytes. Relays exchange messages on [`link::Channel`]s,
 //! each with its own codec, limits and priority; a build skips channels that it does not know. These are state machines
 //! without I/O: datagrams and the time go in, datagrams come out.
 //!
-//! Dependencies point one way: `keys` ← `note` ← `members`, `lateness` ← `link` ← [`frame`].
+//! Dependencies point one way: `keys` ← `note` ← `updates` ← `members`, `lateness` ← `link` ← [`frame`].
 #![forbid(unsafe_code)]
 
 pub mod frame;
@@ -15,6 +15,7 @@
 pub mod link;
 pub mod members;
 pub mod note;
+pub mod updates;
 
 /// A time by this relay's clock, or a duration, in microseconds.
 pub type Micros = i64;
--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -10,8 +10,9 @@
 
 use crate::keys::Keys;
 use crate::lateness::Lateness;
-use crate::members::{Members, Standing};
+use crate::members::{Members, Reaction, Standing};
 use crate::note::{self, FRAME, Head, MOST, NoteError, Replay, Stamp};
+use crate::updates::Update;
 use crate::{Micros, Peer, SECOND};
 
 /// Number of the link's own channel: membership.
@@ -27,6 +28,8 @@
 const FLOOD: u32 = 2000;
 /// Maximum number of answers that wait to be sent.
 const MOST_SHORT: usize = 512;
+/// Maximum number of membership updates that go with the link's own messages to one peer.
+const UPDATES_AT_ONCE: usize = 16;
 
 /// Configuration of a link.
 #[derive(Clone, Debug)]
@@ -129,6 +132,12 @@
     Member { peer: Peer, incarnation: u32, standing: Standing },
 }
 
+impl From<Update> for Word {
+    fn from(Update { peer, incarnation, standing }: Update) -> Self {
+        Word::Member { peer, incarnation, standing }
+    }
+}
+
 /// What is kept for one sender.
 #[derive(Clone, Copy, Debug, Default)]
 struct Line {
@@ -149,6 +158,8 @@
     lines: BTreeMap<Peer, Line>,
     number: u32,
     short: Vec<(Peer, Word)>,
+    /// Peers to which updates go at the next poll, beside those that are sent something anyway.
+    updates_to: Vec<Peer>,
     tokens: f64,
     tokens_at: Micros,
     look_at: Micros,
@@ -166,6 +177,7 @@
             lines: BTreeMap::new(),
             number: 0,
             short: Vec::new(),
+            updates_to: Vec::new(),
             tokens: 2.0 * MOST as f64,
             tokens_at: now,
             look_at: now,
@@ -233,7 +245,10 @@
         if late > TOO_LATE {
             return Err(NoteError::TooLate);
         }
-        self.members.heard(now, head.from, head.incarnation);
+        if let Some(standing) = self.members.heard(now, head.from, head.incarnation) {
+            let word = Word::Member { peer: head.from, incarnation: head.incarnation, standing };
+            self.answer(head.from, word);
+        }
         let from = Sender { peer: head.from, incarnation: head.incarnation, sent: head.sent, late };
         for (id, frame) in frames {
             let made_sense = match channels.iter_mut().find(|channel| channel.id() == id) {
@@ -250,20 +265,35 @@
         while !bytes.is_empty() {
             let Ok((word, rest)) = postcard::take_from_bytes::<Word>(bytes) else { return false };
             bytes = rest;
-            let answer = match word {
-                Word::Ping => true,
-                Word::Pong => false,
+            match word {
+                Word::Ping => self.answer(from, Word::Pong),
+                Word::Pong => {}
                 Word::Member { peer, incarnation, standing } => {
-                    self.members.told(now, peer, incarnation, standing)
+                    match self.members.told(now, peer, incarnation, standing) {
+                        Reaction::None => {}
+                        Reaction::Refute => self.refute(from),
+                        Reaction::Warn => self.answer(peer, word),
+                    }
                 }
-            };
-            if answer && self.short.len() < MOST_SHORT {
-                self.short.push((from, Word::Pong));
             }
         }
         true
     }
 
+    /// Answers a wrong report on this relay, and passes the refutation on at once: the others are about to believe it.
+    fn refute(&mut self, from: Peer) {
+        self.answer(from, Word::Pong);
+        let receivers = self.members.urgent();
+        self.updates_to.extend(receivers);
+    }
+
+    /// Queues a message; one that waits for the same peer already says it.
+    fn answer(&mut self, to: Peer, word: Word) {
+        if self.short.len() < MOST_SHORT && !self.short.contains(&(to, word)) {
+            self.short.push((to, word));
+        }
+    }
+
     /// Returns the datagrams to send now: the link's own messages, then those of each channel in their order.
     pub fn poll(&mut self, now: Micros, channels: &mut [&mut dyn Channel]) -> Vec<Out> {
         let rate = f64::from(self.config.bytes_per_s);
@@ -277,9 +307,7 @@
             }
         }
         let mut said: Vec<(Peer, u8, Vec<u8>)> = Vec::new();
-        for (to, word) in std::mem::take(&mut self.short) {
-            said.extend(postcard::to_allocvec(&word).ok().map(|bytes| (to, MEMBERS, bytes)));
-        }
+        said.extend(self.own_frames());
         let room = note::room(&self.config.keys) - FRAME;
         self.held_back = false;
         let mut spent = said.iter().map(|(_, _, bytes)| bytes.len() + FRAME).sum::<usize>();
@@ -297,14 +325,40 @@
         out
     }
 
-    /// Pings silent peers. A suspect one is told of the suspicion, so that it can refute it.
+    /// Pings silent peers, and passes membership updates on. A suspect peer is told of the suspicion, so that it can refute
+    /// it.
     fn look(&mut self, now: Micros) {
-        for peer in self.members.ask(now) {
+        let round = self.members.check(now);
+        for peer in round.pings {
             if let Some((incarnation, standing)) = self.members.doubted(peer) {
-                self.short.push((peer, Word::Member { peer, incarnation, standing }));
+                self.answer(peer, Word::Member { peer, incarnation, standing });
+            }
+            self.answer(peer, Word::Ping);
+        }
+        self.updates_to.extend(round.updates_to);
+    }
+
+    /// The link's own messages, one frame for each recipient, with membership updates for as long as there are any.
+    fn own_frames(&mut self) -> Vec<(Peer, u8, Vec<u8>)> {
+        let mut words: BTreeMap<Peer, Vec<Word>> = BTreeMap::new();
+        for (to, word) in std::mem::take(&mut self.short) {
+            words.entry(to).or_default().push(word);
+        }
+        for to in std::mem::take(&mut self.updates_to) {
+            words.entry(to).or_default();
+        }
+        let mut frames = Vec::new();
+        for (to, mut words) in words {
+            if self.config.asks {
+                words.extend(self.members.take_updates(UPDATES_AT_ONCE).into_iter().map(Word::from));
+            }
+            let bytes: Vec<u8> =
+                words.iter().filter_map(|word| postcard::to_allocvec(word).ok()).flatten().collect();
+            if !bytes.is_empty() {
+                frames.push((to, MEMBERS, bytes));
             }
-            self.short.push((peer, Word::Ping));
         }
+        frames
     }
 
     /// Packs frames into as few datagrams as they fit in, in their order.
--- /dev/null
+++ b/crates/fleet/src/updates.rs
@@ -0,0 +1,78 @@
+//! Dissemination of membership changes: each is passed on a number of times with the link's own datagrams, so that it
+//! reaches all of a fleet within a few rounds (the gossip of SWIM).
+
+use std::collections::BTreeMap;
+
+use crate::Peer;
+use crate::members::Standing;
+
+/// An update is passed on this many times for each power of ten that the number of relays reaches. By then all but a
+/// vanishing part of the fleet has it: of `n` receivers of `n * k` random messages some `n * exp(-k)` got none.
+const SENT_FOR_EACH_DECADE: u32 = 3;
+
+/// A change of a peer's state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Update {
+    /// The peer.
+    pub peer: Peer,
+    /// Its incarnation.
+    pub incarnation: u32,
+    /// Its new state.
+    pub standing: Standing,
+}
+
+/// An update that waits to be passed on.
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    update: Update,
+    /// How many times it is still to be sent.
+    left: u32,
+}
+
+/// The latest change of each peer that still has to be passed on.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Updates {
+    pending: BTreeMap<Peer, Pending>,
+}
+
+impl Updates {
+    /// Adds an update in a fleet of this many relays; it replaces an earlier one about the same peer.
+    pub(crate) fn add(&mut self, update: Update, relays: usize) {
+        let left = SENT_FOR_EACH_DECADE * relays.max(2).ilog10().saturating_add(1);
+        self.pending.insert(update.peer, Pending { update, left });
+    }
+
+    /// Drops what was to be said of a peer.
+    pub(crate) fn forget(&mut self, peer: Peer) {
+        self.pending.remove(&peer);
+    }
+
+    /// Keeps the updates about these peers only.
+    pub(crate) fn retain(&mut self, keep: impl Fn(Peer) -> bool) {
+        self.pending.retain(|peer, _| keep(*peer));
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.pending.is_empty()
+    }
+
+    /// Takes up to `most` updates for one datagram, those that were sent the fewest times first.
+    pub(crate) fn take(&mut self, most: usize) -> Vec<Update> {
+        let mut order: Vec<(u32, Peer)> =
+            self.pending.iter().map(|(peer, pending)| (pending.left, *peer)).collect();
+        order.sort_unstable_by_key(|(left, peer)| (std::cmp::Reverse(*left), *peer));
+        order.truncate(most);
+        order.into_iter().filter_map(|(_, peer)| self.send(peer)).collect()
+    }
+
+    /// Counts one sending of the update about a peer.
+    fn send(&mut self, peer: Peer) -> Option<Update> {
+        let pending = self.pending.get_mut(&peer)?;
+        let update = pending.update;
+        pending.left = pending.left.saturating_sub(1);
+        if pending.left == 0 {
+            self.pending.remove(&peer);
+        }
+        Some(update)
+    }
+}
