Look only at destinations that somebody waits for, and rank relays once for each

Cause: a coordinator kept full state for every destination listed and walked over all of them at each look, a relay walked over all it had ever asked for, and each request ranked all relays. One relay's processor for an event grew with the destinations listed, from 39 microseconds at 100 to 46 ms at 56,000 (docs/CAPACITY.md): 14 to 24 cores at 520 events a second.

Change: Steward keeps listed rates apart from the state of destinations that were asked for or reported on, and a set of those that are wanted; Node keeps a set of those for which messages wait, and the nearest relay of each.

Ruled out: dropping what a relay knows of a coordinator's count, which would have it call again for what it was granted before.

--- a/crates/permits/src/node/asking.rs
+++ b/crates/permits/src/node/asking.rs
@@ -11,6 +11,8 @@
 /// The requests of this relay for one destination.
 #[derive(Clone, Debug)]
 pub(super) struct Asking {
+    /// The nearest relay, which is the steward unless it is avoided.
+    pub(super) home: Peer,
     /// Messages that wait here.
     pub(super) tiers: Tiers,
     /// Total of permits that a steward last told.
@@ -37,8 +39,9 @@
 
 impl Asking {
     /// The state before the first request.
-    pub(super) fn starting(part: Part) -> Self {
+    pub(super) fn starting(part: Part, home: Peer) -> Self {
         Asking {
+            home,
             tiers: Tiers::new(),
             seen: 0,
             steward: None,
--- a/crates/permits/src/node/channel.rs
+++ b/crates/permits/src/node/channel.rs
@@ -39,7 +39,10 @@
             self.say_wants(now)
         }
         self.grant(now);
-        self.call_at_rates(now);
+        // Rates are granted only where parts are lent.
+        if self.parts() {
+            self.call_at_rates(now);
+        }
         self.echoes.clear();
         self.repeat_grants(now);
         frame::pack(self.encode_out(), room)
--- a/crates/permits/src/node/mod.rs
+++ b/crates/permits/src/node/mod.rs
@@ -13,7 +13,7 @@
 mod report;
 mod wants;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use escrow::{Part, Terms};
 use fleet::nearest;
@@ -96,6 +96,8 @@
     relays: Peer,
     steward: Steward,
     asking: BTreeMap<i64, Asking>,
+    /// Destinations for which messages wait here, where the whole limit is shared: those whose requests may be due.
+    waiting: BTreeSet<i64>,
     /// Stewards that did not answer, and until when they are not asked.
     avoided: BTreeMap<Peer, Micros>,
     /// When avoided stewards were last probed.
@@ -127,6 +129,7 @@
             relays: config.relays,
             steward: Steward::new(config.cold, fleet),
             asking: BTreeMap::new(),
+            waiting: BTreeSet::new(),
             avoided: BTreeMap::new(),
             probed: BTreeMap::new(),
             heard: BTreeMap::new(),
@@ -158,6 +161,7 @@
         let asking = self.asking(destination);
         let best = |tiers: &Tiers| tiers.first().map(|(worth, _)| *worth);
         let more = waiting(&tiers) > waiting(&asking.tiers) || best(&tiers) > best(&asking.tiers);
+        let waits = !tiers.is_empty();
         asking.tiers = tiers;
         if more && parts {
             // A relay that calls at a granted rate goes on with it.
@@ -170,6 +174,11 @@
         } else if more {
             asking.say_at = now;
         }
+        if waits && !parts {
+            self.waiting.insert(destination);
+        } else {
+            self.waiting.remove(&destination);
+        }
     }
 
     /// Another list of relays, as on a reload.
@@ -180,6 +189,9 @@
         self.avoided.retain(|peer, _| *peer < relays);
         self.heard.retain(|peer, _| *peer < relays);
         self.earlier.retain(|peer, _| *peer < relays);
+        for (destination, asking) in &mut self.asking {
+            asking.home = home(*destination, relays, self.config.me);
+        }
     }
 
     /// What stewards granted to this relay since the last call.
@@ -222,7 +234,9 @@
     /// lease after the start.
     fn asking(&mut self, destination: i64) -> &mut Asking {
         let part = Part::starting(self.started, self.terms.lease);
-        self.asking.entry(destination).or_insert_with(|| Asking::starting(part))
+        let Config { relays, me, .. } = self.config;
+        let starting = || Asking::starting(part, home(destination, relays, me));
+        self.asking.entry(destination).or_insert_with(starting)
     }
 
     /// Another relay counts this many relays. Parts are those of the larger fleet.
@@ -233,9 +247,18 @@
         }
     }
 
-    /// The steward of a destination: the nearest relay, avoided ones last.
+    /// The steward of a destination: the nearest relay, avoided ones last. All relays are ranked only while the nearest one
+    /// is avoided.
     fn steward_of(&self, now: Micros, destination: i64) -> Peer {
         let avoided = |peer: Peer| self.avoided.get(&peer).is_some_and(|until| now < *until);
-        nearest(destination, self.config.relays, avoided).unwrap_or(self.config.me)
+        match self.asking.get(&destination).map(|asking| asking.home) {
+            Some(home) if !avoided(home) => home,
+            _ => nearest(destination, self.config.relays, avoided).unwrap_or(self.config.me),
+        }
     }
 }
+
+/// The nearest relay of a destination, whether it is avoided or not.
+fn home(destination: i64, relays: Peer, me: Peer) -> Peer {
+    nearest(destination, relays, |_| false).unwrap_or(me)
+}
--- a/crates/permits/src/node/wants.rs
+++ b/crates/permits/src/node/wants.rs
@@ -23,8 +23,8 @@
 impl Node {
     /// Sends the requests that are due.
     pub(super) fn say_wants(&mut self, now: Micros) {
-        let due = self.asking.iter().filter(|(_, asking)| asking.request_due(now));
-        let due: Vec<i64> = due.map(|(destination, _)| *destination).collect();
+        let due = self.waiting_here().filter(|(_, asking)| asking.request_due(now));
+        let due: Vec<i64> = due.map(|(destination, _)| destination).collect();
         for destination in due {
             self.avoid_unanswering(now, destination);
             self.say_want(now, destination);
@@ -72,6 +72,11 @@
             let tried = asking.unanswered.filter(|(_, times)| *times < TRIED);
             tried.map_or(asking.say_at, |(at, _)| asking.say_at.min(at + UNANSWERED))
         };
-        self.asking.values().filter(|asking| !asking.tiers.is_empty()).map(next).min()
+        self.waiting_here().map(|(_, asking)| next(asking)).min()
+    }
+
+    /// The destinations for which messages wait here, and their requests.
+    fn waiting_here(&self) -> impl Iterator<Item = (i64, &Asking)> {
+        self.waiting.iter().filter_map(|destination| Some((*destination, self.asking.get(destination)?)))
     }
 }
--- a/crates/permits/src/steward.rs
+++ b/crates/permits/src/steward.rs
@@ -7,7 +7,7 @@
 //! doubled on consecutive signals of backpressure and restored by a clean outcome. An outcome of a call that began
 //! before the last signal tells of the same moment as that one.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use escrow::{Loans, Slices, slot};
 use fleet::note::Stamp;
@@ -220,6 +220,23 @@
 }
 
 impl Limit {
+    /// The state of a destination that is listed with this rate, before anything happened there.
+    fn idle(listed: f64) -> Self {
+        Limit { listed: Some(listed), ..Limit::default() }
+    }
+
+    /// Forgets calls that have been out for too long to tell anything.
+    fn forget_calls(&mut self, now: Micros) {
+        while self.calls.front().is_some_and(|at| now - at >= FORGOTTEN) {
+            self.calls.pop_front();
+        }
+    }
+
+    /// Whether a relay wants permits, as far as it said so a short time ago.
+    fn wanted(&self, now: Micros) -> bool {
+        self.asks.values().any(|ask| now - ask.said < WANTS_FOR && !ask.tiers.is_empty())
+    }
+
     /// What the destination takes from all relays when it is warm. Relays that each have their own reading of it keep
     /// better step by what is listed, where the two are near.
     fn full_rate(&self, fleet: Fleet) -> Option<f64> {
@@ -429,17 +446,25 @@
 }
 
 /// The limits that this relay is steward of, as it was asked.
+///
+/// A fleet lists many more destinations than one relay is asked for: those have a listed rate and no state, and only
+/// those that are wanted are looked at when permits are due.
 #[derive(Clone, Debug)]
 pub struct Steward {
     cold: Cold,
     fleet: Fleet,
+    /// Listed rates of all destinations, in calls a second.
+    listed: BTreeMap<i64, f64>,
+    /// State of those that were asked for or reported on.
     limits: BTreeMap<i64, Limit>,
+    /// Destinations for which a relay may want permits.
+    wanted: BTreeSet<i64>,
 }
 
 impl Steward {
     /// A steward that knows nothing yet.
     pub fn new(cold: Cold, fleet: Fleet) -> Self {
-        Steward { cold, fleet, limits: BTreeMap::new() }
+        Steward { cold, fleet, listed: BTreeMap::new(), limits: BTreeMap::new(), wanted: BTreeSet::new() }
     }
 
     /// So many relays share.
@@ -450,31 +475,48 @@
     /// Whether this relay's own part of a limit is its own now.
     pub fn own(&mut self, destination: i64, own: bool) {
         let me = self.fleet.me;
-        if let Some(limit) = self.limits.get_mut(&destination) {
+        if let Some(limit) = self.limit(destination) {
             if own { limit.loans.own(me) } else { limit.loans.returned(me) }
         }
     }
 
     /// The parts of a limit that this relay may use, and whether rates of it are handed on.
     pub fn lent(&self, now: Micros, destination: i64) -> (usize, bool) {
-        let limit = self.limits.get(&destination);
-        limit.map_or((0, false), |limit| (limit.loans.count(now, 0), limit.sliced(self.fleet)))
+        match (self.limits.get(&destination), self.listed.get(&destination)) {
+            (Some(limit), _) => (limit.loans.count(now, 0), limit.sliced(self.fleet)),
+            (None, Some(listed)) => (0, Limit::idle(*listed).sliced(self.fleet)),
+            (None, None) => (0, false),
+        }
     }
 
     /// The directory lists a destination, with the rate that all relays together may call it at.
     pub fn listed(&mut self, destination: i64, rate: f64) {
-        if rate.is_finite() && rate > 0.0 {
-            self.limits.entry(destination).or_default().listed = Some(rate);
+        if !rate.is_finite() || rate <= 0.0 {
+            return;
+        }
+        self.listed.insert(destination, rate);
+        if let Some(limit) = self.limits.get_mut(&destination) {
+            limit.listed = Some(rate);
         }
     }
 
+    /// The state of a destination, which begins where it is listed. `None` where the destination is not known.
+    fn limit(&mut self, destination: i64) -> Option<&mut Limit> {
+        let listed = *self.listed.get(&destination)?;
+        Some(self.limits.entry(destination).or_insert_with(|| Limit::idle(listed)))
+    }
+
     /// A relay says what waits there. `None` where the destination is not known: it is not answered then.
     pub fn want(
         &mut self, now: Micros, asker: Asker, destination: i64, seen: u16, tiers: Tiers,
     ) -> Option<Answer> {
         let Asker { peer: from, incarnation, lends } = asker;
         let (cold, fleet) = (self.cold, self.fleet);
-        let limit = self.limits.get_mut(&destination)?;
+        if !tiers.is_empty() && self.listed.contains_key(&destination) {
+            self.wanted.insert(destination);
+        }
+        let limit = self.limit(destination)?;
+        limit.forget_calls(now);
         let few = limit.few;
         if let Some((stamp, lease)) = lends {
             limit.loans.lent(now, from, stamp, lease);
@@ -522,6 +564,11 @@
         self.limits.get(&destination).and_then(told).unwrap_or_default()
     }
 
+    /// Number of destinations that [`Steward::poll`] looks at, and number of those with any state.
+    pub fn watched(&self) -> (usize, usize) {
+        (self.wanted.len(), self.limits.len())
+    }
+
     /// Destinations of which this relay is the steward and where something waits.
     pub fn queues(&self, now: Micros) -> Vec<Queue> {
         let queue = |(destination, limit): (&i64, &Limit)| {
@@ -538,7 +585,7 @@
     /// cold, or messages of some worth wait for so long at the least.
     pub fn strained(&self, now: Micros, long: Micros) -> Option<i64> {
         let strained = |(destination, limit): &(&i64, &Limit)| {
-            let asked = limit.asks.values().any(|ask| now - ask.said < WANTS_FOR && !ask.tiers.is_empty());
+            let asked = limit.wanted(now);
             let cold = limit.back.is_some_and(|back| now - back < self.cold.warm_after);
             let cut = || {
                 let waits = self.waits(now, **destination, self.fleet.me);
@@ -551,8 +598,10 @@
 
     /// A call ended.
     pub fn report(&mut self, now: Micros, destination: i64, report: &Report) {
-        if let Some(limit) = self.limits.get_mut(&destination) {
-            limit.learn(now, self.fleet, report);
+        let fleet = self.fleet;
+        if let Some(limit) = self.limit(destination) {
+            limit.forget_calls(now);
+            limit.learn(now, fleet, report);
         }
     }
 
@@ -560,10 +609,13 @@
     pub fn poll(&mut self, now: Micros) -> Vec<Grant> {
         let mut grants = Vec::new();
         let (cold, fleet) = (self.cold, self.fleet);
-        for (destination, limit) in self.limits.iter_mut().filter(|(_, limit)| !limit.sliced(fleet)) {
-            while limit.calls.front().is_some_and(|at| now - at >= FORGOTTEN) {
-                limit.calls.pop_front();
-            }
+        let limits = &mut self.limits;
+        self.wanted.retain(|destination| limits.get(destination).is_some_and(|limit| limit.wanted(now)));
+        for destination in &self.wanted {
+            let Some(limit) = limits.get_mut(destination).filter(|limit| !limit.sliced(fleet)) else {
+                continue;
+            };
+            limit.forget_calls(now);
             while limit.next <= now && limit.wait_until <= now {
                 let (Some(interval), Some(peer)) = (limit.interval(now, cold, fleet), limit.best(now, fleet))
                 else {
@@ -595,7 +647,8 @@
     /// When [`Steward::poll`] has something to do next.
     pub fn next_at(&self, now: Micros) -> Micros {
         let fleet = self.fleet;
-        let waits = self.limits.values().filter(|l| !l.sliced(fleet) && l.best(now, fleet).is_some());
+        let wanted = self.wanted.iter().filter_map(|destination| self.limits.get(destination));
+        let waits = wanted.filter(|limit| !limit.sliced(fleet) && limit.best(now, fleet).is_some());
         let next = |limit: &Limit| limit.next.max(limit.wait_until);
         waits.map(next).min().unwrap_or(Micros::MAX)
     }
