Fit how the distribution's costs grow with relays, destinations and changes

Cause: the slopes had no axis of changes: Axis::Changes stood in the code and no group of the plan ran the distribution, so that its figures came from scale rollout alone and no prediction of them was tested. Limits were fitted up to 2,000 destinations and 140 events a relay, as points beyond did not end in their time.

Change: a third group of the plan, distribution, runs scale's rollout simulation at each point over relays, destinations and changes; a point's process takes either kind of scenario. Limits go up to 56,000 destinations and 520 events a relay in the full plan. Three points run at a time, and the quick plan's members have half as many events.

--- a/crates/scale/src/command/point.rs
+++ b/crates/scale/src/command/point.rs
@@ -9,11 +9,11 @@
 
 use anyhow::{Context, bail};
 use clap::Args;
-use scale::progress::Silent;
+use scale::Measurement;
 use scale::slopes::axis::Conditions;
 use scale::slopes::execute::Run;
 use scale::slopes::plan::Group;
-use scale::{Measurement, RunError, Scenario};
+use scale::slopes::scenario::{PointOutcome, PointScenario};
 
 /// Exit status of a point that its bound of real time ended.
 const PARTIAL: u8 = 3;
@@ -32,19 +32,18 @@
 
 /// Runs the scenario on standard input, and writes its measurement as JSON on standard output.
 pub fn point(args: &PointArgs) -> anyhow::Result<ExitCode> {
-    let scenario: Scenario = serde_json::from_reader(io::stdin().lock()).context("the scenario")?;
-    let (measurement, status) = match scale::run(&scenario, args.seed, &mut Silent) {
-        Ok(measurement) => (measurement, ExitCode::SUCCESS),
-        Err(RunError::Partial { measurement, .. }) => (*measurement, ExitCode::from(PARTIAL)),
-        Err(error) => return Err(error.into()),
+    let scenario: PointScenario = serde_json::from_reader(io::stdin().lock()).context("the scenario")?;
+    let (measurement, status) = match scenario.run(args.seed)? {
+        PointOutcome::Whole(measurement) => (measurement, ExitCode::SUCCESS),
+        PointOutcome::Partial(measurement) => (measurement, ExitCode::from(PARTIAL)),
     };
     serde_json::to_writer(io::stdout().lock(), &measurement)?;
     Ok(status)
 }
 
 /// Runs a scenario in a process of its own; what goes wrong becomes a failed or partial run.
-pub fn run_in_process(scenario: &Scenario, group: &Group, conditions: Conditions, seed: u64) -> Run {
-    let bound = Duration::from_secs_f64(scenario.real_time_limit_s);
+pub fn run_in_process(scenario: &PointScenario, group: &Group, conditions: Conditions, seed: u64) -> Run {
+    let bound = scenario.bound();
     let begun = Instant::now();
     let ended = start(scenario, seed).and_then(|child| wait(child, begun + bound + GRACE));
     let real = begun.elapsed();
@@ -55,7 +54,7 @@
         Ok(Ended { status: Some(status), measurement: Some(measurement), .. })
             if status.code() == Some(i32::from(PARTIAL)) =>
         {
-            let reached = measurement.simulated_s / scenario.seconds;
+            let reached = measurement.simulated_s / scenario.measured_s();
             let reason = format!("ended by its bound of {:.0} s of real time", bound.as_secs_f64());
             Run::partial(group, conditions, real, reached, reason)
         }
@@ -78,7 +77,7 @@
     errors: String,
 }
 
-fn start(scenario: &Scenario, seed: u64) -> anyhow::Result<Child> {
+fn start(scenario: &PointScenario, seed: u64) -> anyhow::Result<Child> {
     let program = std::env::current_exe().context("the path of this program")?;
     let mut command = Command::new(program);
     command.args(["point", "--seed", &seed.to_string()]);
--- a/crates/scale/src/command/slopes.rs
+++ b/crates/scale/src/command/slopes.rs
@@ -16,7 +16,7 @@
 use scale::slopes::machine::Machine;
 use scale::slopes::plan::{Group, Plan};
 use scale::slopes::projection::project;
-use scale::slopes::scenario::{built_in_fleet, scenario_of};
+use scale::slopes::scenario::{built_in_fleet, point_of};
 use scale::slopes::table::file_tables;
 
 use super::point::run_in_process;
@@ -85,8 +85,10 @@
     let count = plan.points().len();
     let (bar, done) = (ProgressBar::new(count as u64), AtomicUsize::new(0));
     let runs = execute(plan, |group: &Group, conditions: Conditions, bound: Duration| {
-        let scenario = scenario_of(fleet, plan, group, &conditions, bound);
-        let run = run_in_process(&scenario, group, conditions, seed);
+        let run = match point_of(fleet, plan, group, &conditions, bound) {
+            Ok(scenario) => run_in_process(&scenario, group, conditions, seed),
+            Err(error) => Run::failed(group, conditions, Duration::ZERO, error.to_string()),
+        };
         bar.set_position(done.fetch_add(1, Ordering::Relaxed) as u64 + 1);
         run
     });
--- a/crates/scale/src/rollout_run/scenario.rs
+++ b/crates/scale/src/rollout_run/scenario.rs
@@ -121,8 +121,18 @@
         let file = path.display().to_string();
         let text = std::fs::read_to_string(path);
         let text = text.map_err(|source| RolloutScenarioError::Read { file: file.clone(), source })?;
-        let scenario: Self = toml::from_str(&text)
-            .map_err(|source| RolloutScenarioError::Parse { file, source: Box::new(source) })?;
+        Self::parse(&text, &file)
+    }
+
+    /// Reads a scenario from the text of this file.
+    ///
+    /// # Errors
+    /// If the text is no scenario, or makes no sense.
+    pub fn parse(text: &str, file: &str) -> Result<Self, RolloutScenarioError> {
+        let scenario: Self = toml::from_str(text).map_err(|source| RolloutScenarioError::Parse {
+            file: file.to_owned(),
+            source: Box::new(source),
+        })?;
         scenario.check()?;
         Ok(scenario)
     }
--- a/crates/scale/src/slopes/execute.rs
+++ b/crates/scale/src/slopes/execute.rs
@@ -1,4 +1,4 @@
-//! Measures the points of a plan, at most two at a time.
+//! Measures the points of a plan, at most three at a time.
 
 use std::sync::Mutex;
 use std::thread;
@@ -11,7 +11,7 @@
 use crate::measurement::Measurement;
 
 /// Points that are measured at the same time.
-pub const MAX_THREADS: usize = 2;
+pub const MAX_THREADS: usize = 3;
 
 /// How the measurement of a point ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/scale/src/slopes/plan.rs
+++ b/crates/scale/src/slopes/plan.rs
@@ -19,7 +19,7 @@
 pub enum Extent {
     /// Small fleets, done in under 3 minutes.
     Quick,
-    /// Up to the coming number of relays, done in about 10 minutes.
+    /// Up to the coming number of relays, done in about 12 minutes.
     Full,
 }
 
@@ -41,6 +41,11 @@
 }
 
 impl Group {
+    /// Whether its points distribute changes of configuration, and not run the cores of relays under load.
+    pub fn is_distribution(&self) -> bool {
+        self.roles.contains(&Role::Configuration)
+    }
+
     /// All conditions to measure, each once.
     pub fn conditions(&self) -> Vec<Conditions> {
         let on_axis = |(axis, sizes): &(Axis, Vec<f64>)| -> Vec<Conditions> {
@@ -67,6 +72,8 @@
     pub warm_up_s: u32,
     /// Simulated seconds that are measured in each point.
     pub simulated_s: u32,
+    /// Simulated seconds in which the changes come in a point that distributes changes.
+    pub changing_s: u32,
     /// Real time that a point may take.
     pub bound: Duration,
     /// Real time that all points may take together; points not begun by then are recorded as partial.
@@ -78,23 +85,25 @@
     pub fn quick() -> Self {
         Self {
             extent: Extent::Quick,
-            groups: vec![members_quick(), limits_quick()],
+            groups: vec![members_quick(), limits_quick(), distribution_quick()],
             warm_up_s: WARM_UP_S,
             simulated_s: SIMULATED_S,
+            changing_s: 300,
             bound: Duration::from_secs(30),
             bound_of_all: Duration::from_secs(150),
         }
     }
 
-    /// Up to the coming number of relays, in about 10 minutes.
+    /// Up to the coming number of relays, in about 12 minutes.
     pub fn full() -> Self {
         Self {
             extent: Extent::Full,
-            groups: vec![members_full(), limits_full()],
+            groups: vec![members_full(), limits_full(), distribution_full()],
             warm_up_s: WARM_UP_S,
             simulated_s: SIMULATED_S,
+            changing_s: 600,
             bound: Duration::from_secs(150),
-            bound_of_all: Duration::from_secs(600),
+            bound_of_all: Duration::from_secs(900),
         }
     }
 
@@ -126,15 +135,15 @@
 }
 
 fn members_quick() -> Group {
-    let base = Conditions { relays: 80, destinations: 1_000, events_per_relay: 50.0, ..Conditions::TARGET };
+    let base = Conditions { relays: 80, destinations: 1_000, events_per_relay: 25.0, ..Conditions::TARGET };
     members(
         base,
         &[80.0, 90.0, 100.0, 115.0, 130.0, 150.0, 175.0, 200.0],
         &[350.0, 500.0, 700.0, 1_000.0, 1_400.0, 2_000.0, 2_800.0, 4_000.0],
-        &[20.0, 30.0, 40.0, 50.0, 70.0, 100.0, 140.0, 200.0],
+        &[10.0, 15.0, 20.0, 25.0, 35.0, 50.0, 70.0, 100.0],
         [
-            Conditions { relays: 100, destinations: 1_500, events_per_relay: 60.0, ..base },
-            Conditions { relays: 150, destinations: 3_000, events_per_relay: 80.0, ..base },
+            Conditions { relays: 100, destinations: 1_500, events_per_relay: 30.0, ..base },
+            Conditions { relays: 150, destinations: 3_000, events_per_relay: 40.0, ..base },
         ],
     )
 }
@@ -184,8 +193,8 @@
 fn limits_full() -> Group {
     limits(
         &[20.0, 40.0, 80.0, 130.0, 200.0, 350.0, 600.0, 1_000.0],
-        &[25.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_300.0, 2_000.0],
-        &[2.5, 5.0, 10.0, 20.0, 40.0, 60.0, 90.0, 140.0],
+        &[50.0, 100.0, 200.0, 400.0, 1_000.0, 4_000.0, 15_000.0, 56_000.0],
+        &[5.0, 10.0, 20.0, 40.0, 80.0, 150.0, 280.0, 520.0],
         [
             Conditions { relays: 80, destinations: 200, events_per_relay: 20.0, ..LIMITS_BASE },
             Conditions { relays: 120, destinations: 300, events_per_relay: 30.0, ..LIMITS_BASE },
@@ -193,6 +202,61 @@
     )
 }
 
+/// The distribution of changes, which no load and no failing destination reaches: these axes are left out.
+fn distribution(
+    base: Conditions, relays: &[f64], destinations: &[f64], changes: &[f64], corners: [Conditions; 2],
+) -> Group {
+    Group {
+        name: "distribution".into(),
+        roles: vec![Role::Configuration, Role::ControlMachine],
+        subjects: vec![Subject::Configuration, Subject::ControlMachine, Subject::Fleet],
+        base,
+        sizes: vec![
+            (Axis::Relays, relays.to_vec()),
+            (Axis::Destinations, destinations.to_vec()),
+            (Axis::Changes, changes.to_vec()),
+        ],
+        corners,
+    }
+}
+
+/// Twenty changes in ten minutes.
+const DISTRIBUTION_BASE: Conditions = Conditions {
+    relays: 100,
+    destinations: 1_000,
+    events_per_relay: 0.0,
+    changes_per_day: 2_880.0,
+    ..Conditions::TARGET
+};
+
+fn distribution_quick() -> Group {
+    let base = Conditions { relays: 40, ..DISTRIBUTION_BASE };
+    distribution(
+        base,
+        &[30.0, 40.0, 50.0, 60.0, 80.0, 100.0, 130.0, 160.0],
+        &[125.0, 250.0, 500.0, 1_000.0, 2_000.0, 3_000.0, 4_000.0, 8_000.0],
+        &[1_152.0, 1_728.0, 2_304.0, 2_880.0, 4_320.0, 5_760.0, 8_640.0, 17_280.0],
+        [
+            Conditions { relays: 60, destinations: 1_500, changes_per_day: 4_320.0, ..base },
+            Conditions { relays: 80, destinations: 3_000, changes_per_day: 5_760.0, ..base },
+        ],
+    )
+}
+
+fn distribution_full() -> Group {
+    let base = DISTRIBUTION_BASE;
+    distribution(
+        base,
+        &[80.0, 100.0, 140.0, 200.0, 280.0, 400.0, 600.0, 1_000.0],
+        &[250.0, 500.0, 1_000.0, 2_000.0, 4_000.0, 8_000.0, 20_000.0, 56_000.0],
+        &[576.0, 1_152.0, 1_728.0, 2_880.0, 4_320.0, 5_760.0, 8_640.0, 17_280.0],
+        [
+            Conditions { relays: 150, destinations: 2_000, changes_per_day: 4_320.0, ..base },
+            Conditions { relays: 250, destinations: 5_000, changes_per_day: 5_760.0, ..base },
+        ],
+    )
+}
+
 /// Changes of configuration do not reach the roles of these groups, so that axis is left out.
 fn sizes(relays: &[f64], destinations: &[f64], events: &[f64]) -> Vec<(Axis, Vec<f64>)> {
     vec![
