Split the state of a limit from the coordinator that owns all limits

Change: limit.rs is one destination's rate, requests and health; steward.rs decides over all destinations.

--- a/crates/permits/src/lib.rs
+++ b/crates/permits/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod earlier;
 pub mod held;
+mod limit;
 pub mod node;
 pub mod note;
 pub mod steward;
