--- a/example/toy_server.rs
+++ b/example/toy_server.rs
@@ -23,7 +23,7 @@
 fn connection(mut stream: TcpStream, seen: &Seen) -> std::io::Result<()> {
     let mut reader = BufReader::new(stream.try_clone()?);
     loop {
-        let (mut first, mut id, mut length) = (String::new(), String::new(), 0);
+        let (mut first, mut id, mut key, mut length) = (String::new(), String::new(), String::new(), 0);
         if reader.read_line(&mut first)? == 0 {
             return Ok(());
         }
@@ -32,6 +32,7 @@
             reader.read_line(&mut line)?;
             match line.trim().split_once(": ") {
                 Some(("X-Correlation-Id", value)) => id = value.to_string(),
+                Some(("Idempotency-Key", value)) => key = format!(" key {value}"),
                 Some(("Content-Length", value)) => length = value.parse().unwrap_or(0),
                 Some(_) => {}
                 None => break,
@@ -40,7 +41,7 @@
         let mut body = vec![0; length];
         reader.read_exact(&mut body)?;
         let body = String::from_utf8_lossy(&body);
-        println!("{} {id} {}", first.trim(), body.trim());
+        println!("{} {id}{key} {}", first.trim(), body.trim());
         let new = seen.lock().unwrap_or_else(PoisonError::into_inner).insert(id);
         let answer = match body.split_whitespace().next() {
             _ if first.contains("/reports") => "204 No Content\r\n",
