Let updates lie below members, and say in one place what stood twice

Cause: crates/fleet/src/updates.rs took the state of a peer from members, which takes updates, while the crate says that dependencies point one way. Change: Standing lies in updates and is re-exported from members under its old path. The key of a message is put on a call by one method for both fronts; a paced lane and one with permits set their next look by one method; the link's queue of its own messages is filled by queue, as not all of them are answers.

--- a/crates/fleet/src/link.rs
+++ b/crates/fleet/src/link.rs
@@ -26,7 +26,7 @@
 /// Maximum number of datagrams accepted from one sender in a second: ten times what the busiest steward sends to one
 /// relay.
 const FLOOD: u32 = 2000;
-/// Maximum number of answers that wait to be sent.
+/// Maximum number of the link's own messages that wait to be sent.
 const MOST_SHORT: usize = 512;
 /// Maximum number of membership updates that go with the link's own messages to one peer.
 const UPDATES_AT_ONCE: usize = 16;
@@ -247,7 +247,7 @@
         }
         if let Some(standing) = self.members.heard(now, head.from, head.incarnation) {
             let word = Word::Member { peer: head.from, incarnation: head.incarnation, standing };
-            self.answer(head.from, word);
+            self.queue(head.from, word);
         }
         let from = Sender { peer: head.from, incarnation: head.incarnation, sent: head.sent, late };
         for (id, frame) in frames {
@@ -266,13 +266,13 @@
             let Ok((word, rest)) = postcard::take_from_bytes::<Word>(bytes) else { return false };
             bytes = rest;
             match word {
-                Word::Ping => self.answer(from, Word::Pong),
+                Word::Ping => self.queue(from, Word::Pong),
                 Word::Pong => {}
                 Word::Member { peer, incarnation, standing } => {
                     match self.members.told(now, peer, incarnation, standing) {
                         Reaction::None => {}
                         Reaction::Refute => self.refute(from),
-                        Reaction::Warn => self.answer(peer, word),
+                        Reaction::Warn => self.queue(peer, word),
                     }
                 }
             }
@@ -282,13 +282,13 @@
 
     /// Answers a wrong report on this relay, and passes the refutation on at once: the others are about to believe it.
     fn refute(&mut self, from: Peer) {
-        self.answer(from, Word::Pong);
+        self.queue(from, Word::Pong);
         let receivers = self.members.urgent();
         self.updates_to.extend(receivers);
     }
 
     /// Queues a message; one that waits for the same peer already says it.
-    fn answer(&mut self, to: Peer, word: Word) {
+    fn queue(&mut self, to: Peer, word: Word) {
         if self.short.len() < MOST_SHORT && !self.short.contains(&(to, word)) {
             self.short.push((to, word));
         }
@@ -331,9 +331,9 @@
         let round = self.members.check(now);
         for peer in round.pings {
             if let Some((incarnation, standing)) = self.members.doubted(peer) {
-                self.answer(peer, Word::Member { peer, incarnation, standing });
+                self.queue(peer, Word::Member { peer, incarnation, standing });
             }
-            self.answer(peer, Word::Ping);
+            self.queue(peer, Word::Ping);
         }
         self.updates_to.extend(round.updates_to);
     }
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -13,11 +13,11 @@
 
 use std::collections::BTreeMap;
 
-use serde::{Deserialize, Serialize};
-
 use crate::updates::{Update, Updates};
 use crate::{Micros, Peer, SECOND, rendezvous};
 
+pub use crate::updates::Standing;
+
 /// Maximum number of peers to which messages go at one check; the others follow at the next checks.
 const ASKED_AT_ONCE: usize = 4;
 /// Time of silence after which a peer is pinged, in microseconds.
@@ -34,17 +34,6 @@
 const DEAD_PINGED_AFTER: Micros = 5 * SECOND;
 const DEAD_PINGED_WITHIN: Micros = 10 * SECOND;
 
-/// The state of a peer, in the order in which reports on one incarnation override each other: a later one goes first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub enum Standing {
-    /// It has been heard.
-    Alive,
-    /// It did not answer a ping, and may refute the suspicion.
-    Suspect,
-    /// It is declared dead: it did not refute the suspicion in time.
-    Gone,
-}
-
 /// What is known of a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Member {
--- a/crates/fleet/src/updates.rs
+++ b/crates/fleet/src/updates.rs
@@ -3,13 +3,25 @@
 
 use std::collections::BTreeMap;
 
+use serde::{Deserialize, Serialize};
+
 use crate::Peer;
-use crate::members::Standing;
 
 /// An update is passed on this many times for each power of ten that the number of relays reaches. By then all but a
 /// vanishing part of the fleet has it: of `n` receivers of `n * k` random messages some `n * exp(-k)` got none.
 const SENT_FOR_EACH_DECADE: u32 = 3;
 
+/// The state of a peer, in the order in which reports on one incarnation override each other: a later one goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Standing {
+    /// It has been heard.
+    Alive,
+    /// It did not answer a ping, and may refute the suspicion.
+    Suspect,
+    /// It is declared dead: it did not refute the suspicion in time.
+    Gone,
+}
+
 /// A change of a peer's state.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Update {
--- a/crates/scale/src/run/work.rs
+++ b/crates/scale/src/run/work.rs
@@ -166,8 +166,13 @@
     /// When to look again at a paced lane, where that was not said before.
     fn look_at_pace(&mut self, now: Micros, interval: Micros) -> Option<Micros> {
         let at = self.last_own.map_or(now, |last| last + interval);
+        if self.waiting.is_empty() { None } else { self.look_sooner(now, at) }
+    }
+
+    /// Sets when to look, unless that is no sooner than what was said before.
+    fn look_sooner(&mut self, now: Micros, at: Micros) -> Option<Micros> {
         self.look_at = self.look_at.filter(|before| *before > now);
-        if self.waiting.is_empty() || self.look_at.is_some_and(|before| before <= at) {
+        if self.look_at.is_some_and(|before| before <= at) {
             return None;
         }
         self.look_at = Some(at);
@@ -176,17 +181,12 @@
 
     /// When to look again, where that was not said before.
     fn look_again(&mut self, now: Micros, own_gap: Micros) -> Option<Micros> {
-        self.look_at = self.look_at.filter(|at| *at > now);
         let at = match self.held.gate(now) {
             _ if self.waiting.is_empty() => return None,
             Gate::Permitted => now + NO_SLOT,
             Gate::Waits(until) => until,
             Gate::Own => self.last_own.map_or(now, |last| last + own_gap),
         };
-        if self.look_at.is_some_and(|before| before <= at) {
-            return None;
-        }
-        self.look_at = Some(at);
-        self.look_at
+        self.look_sooner(now, at)
     }
 }
--- a/src/as2.rs
+++ b/src/as2.rs
@@ -23,7 +23,7 @@
 use crate::input::Input;
 use crate::interface::{Micros, Outcome, Report};
 use crate::net::connections::{Connections, Progress, full};
-use crate::net::http::{IDEMPOTENCY_KEY, MOST_BODY, Message, Start};
+use crate::net::http::{MOST_BODY, Message, Start};
 use crate::net::{Doing, Ended, Protocol};
 
 /// An AS2 message may have so many bytes: a body, its signature and the frame around both.
@@ -436,10 +436,9 @@
         let me = &self.identity;
         let part = content(&call.exchange.body);
         let signed = sign(&part, &me.key, &me.certificate)?;
-        let mut request = Message::request("POST", &partner.path).with("Host", &*call.address);
-        if let Some(key) = &call.exchange.idempotency_key {
-            request = request.with(IDEMPOTENCY_KEY, key.as_str());
-        }
+        let request = Message::request("POST", &partner.path)
+            .with("Host", &*call.address)
+            .with_idempotency_key(call.exchange.idempotency_key.as_ref());
         let mut request = addressed(request, &me.name, &partner.name, id)
             .with("Disposition-Notification-To", &me.name)
             .with(
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use crate::exchange::IdempotencyKey;
 use bytes::{Buf, Bytes, BytesMut};
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -84,6 +85,14 @@
         self
     }
 
+    /// Adds the idempotency key of a message, if it has one.
+    pub fn with_idempotency_key(self, key: Option<&IdempotencyKey>) -> Self {
+        match key {
+            Some(key) => self.with(IDEMPOTENCY_KEY, key.as_str()),
+            None => self,
+        }
+    }
+
     /// The first header of that name.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -9,7 +9,7 @@
 
 use super::clearance::Clearance;
 use super::connections::{Connections, Progress, full};
-use super::http::{IDEMPOTENCY_KEY, Message, Start};
+use super::http::{Message, Start};
 use super::{Ended, Protocol};
 use crate::exchange::{CallEnd, Clock, Exchange, OutboundCall};
 use crate::input::Input;
@@ -88,10 +88,8 @@
             let mut request = Message::request("POST", "/v1/messages")
                 .with("Host", &*call.address)
                 .with("X-Correlation-Id", &call.exchange.id)
-                .with("X-Time-Left", format!("{left}m"));
-            if let Some(key) = &call.exchange.idempotency_key {
-                request = request.with(IDEMPOTENCY_KEY, key.as_str());
-            }
+                .with("X-Time-Left", format!("{left}m"))
+                .with_idempotency_key(call.exchange.idempotency_key.as_ref());
             request.body = call.exchange.body.clone();
             request
         };
