--- /dev/null
+++ b/tests/faults.rs
@@ -0,0 +1,357 @@
+//! The relay while its system calls, its disk and its wall clock fail: real processes with the fault shim preloaded.
+
+mod stand;
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::io::Write;
+use std::net::{TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use faults::{Child, Scenario};
+use stand::site::{configuration, order};
+use stand::*;
+
+/// A start is ready within this, once nothing fails any more.
+const READY_WITHIN: Duration = Duration::from_secs(10);
+/// The time that clients give their messages.
+const TIME_LEFT_MS: u64 = 3_000;
+/// A message's end may come so long after its time.
+const SLACK: Duration = Duration::from_millis(300);
+
+/// A call that came: the message, its body, and when.
+type Came = (String, Vec<u8>, Instant);
+
+/// An endpoint that notes what came, with bodies, and may be shut.
+struct Endpoint {
+    address: String,
+    heard: Arc<Mutex<Vec<Came>>>,
+    shut: Arc<AtomicBool>,
+}
+
+impl Endpoint {
+    fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a socket");
+        let address = listener.local_addr().expect("an address").to_string();
+        let endpoint = Endpoint { address, heard: Arc::default(), shut: Arc::default() };
+        let (heard, shut) = (endpoint.heard.clone(), endpoint.shut.clone());
+        std::thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let (heard, shut) = (heard.clone(), shut.clone());
+                std::thread::spawn(move || {
+                    while let Some(call) = hear(&mut stream) {
+                        if shut.load(Ordering::Relaxed) {
+                            let busy = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+                            if stream.write_all(busy.as_bytes()).is_err() {
+                                return;
+                            }
+                            continue;
+                        }
+                        let id = call.header("X-Correlation-Id").unwrap_or_default().to_string();
+                        heard.lock().expect("no panic").push((id, call.body, Instant::now()));
+                        if stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        endpoint
+    }
+
+    fn ids(&self) -> Vec<String> {
+        self.heard.lock().expect("no panic").iter().map(|(id, ..)| id.clone()).collect()
+    }
+}
+
+/// A relay that is started again and again on one folder, with faults.
+struct Relay {
+    folder: PathBuf,
+    address: String,
+}
+
+impl Relay {
+    fn new(name: &str, endpoint: &Endpoint) -> Self {
+        let folder = folder(name);
+        // A port of its own, so that clients find the relay again after a restart.
+        let free = TcpListener::bind("127.0.0.1:0").expect("a socket").local_addr().expect("an address");
+        let mut file = configuration(std::slice::from_ref(&endpoint.address));
+        file["listen"] = free.to_string().into();
+        std::fs::write(folder.join("config.json"), file.to_string()).expect("a file");
+        Relay { folder, address: free.to_string() }
+    }
+
+    fn state(&self) -> PathBuf {
+        self.folder.join("state")
+    }
+
+    /// Starts it with these faults, and does not wait.
+    fn launch(&self, scenario: &str, seed: u64) -> Program {
+        let scenario = Scenario::read(scenario).expect("a scenario");
+        let (state, log) = (self.state(), self.folder.join("faults.log"));
+        let child = Child { seed, scope: &state, log: &log };
+        let faults = scenario.environment(child).expect("the shim is built");
+        let (file, state) = (self.folder.join("config.json"), state.display().to_string());
+        let file = file.display().to_string();
+        let mut environment: Vec<(&str, &str)> = faults.iter().map(|(key, value)| (*key, &**value)).collect();
+        environment.extend([("PROXY_CONFIG", &*file), ("PROXY_STATE", &*state)]);
+        Program::launched_with(&environment)
+    }
+
+    fn start(&self, scenario: &str, seed: u64) -> Program {
+        let began = Instant::now();
+        let mut program = self.launch(scenario, seed);
+        program.wait_ready(1);
+        assert!(began.elapsed() < READY_WITHIN, "ready after {:?}", began.elapsed());
+        program
+    }
+
+    fn faults_made(&self) -> usize {
+        std::fs::read_to_string(self.folder.join("faults.log")).map_or(0, |log| log.lines().count())
+    }
+}
+
+/// What clients saw.
+#[derive(Default)]
+struct Seen {
+    accepted: BTreeMap<String, Instant>,
+    refused: usize,
+    unanswered: Vec<String>,
+}
+
+/// Clients that hand messages in one after the other, each on a connection that it keeps, for so long.
+fn clients(relay: &Relay, name: &str, clients: usize, lasting: Duration) -> Seen {
+    let seen = Mutex::new(Seen::default());
+    let until = Instant::now() + lasting;
+    std::thread::scope(|scope| {
+        for client in 0..clients {
+            let (seen, address) = (&seen, &relay.address);
+            scope.spawn(move || {
+                let mut kept: Option<TcpStream> = None;
+                for n in 0.. {
+                    if Instant::now() >= until {
+                        return;
+                    }
+                    let id = format!("{name}-{client}-{n}");
+                    let Some(mut stream) = kept.take().or_else(|| TcpStream::connect(address).ok()) else {
+                        std::thread::sleep(Duration::from_millis(20));
+                        continue;
+                    };
+                    stream.set_read_timeout(Some(FAR)).expect("a deadline");
+                    let class = if n % 2 == 0 { "status-update" } else { "paid-extra" };
+                    let body = id.repeat(40);
+                    let request = handed_in(class, &id, 0, TIME_LEFT_MS, body.as_bytes());
+                    let answer = ask(&mut stream, &request).map(|answer| answer.status());
+                    let mut seen = seen.lock().expect("no panic");
+                    match answer {
+                        Some(202) => drop(seen.accepted.insert(id, Instant::now())),
+                        Some(_) => seen.refused += 1,
+                        None => seen.unanswered.push(id),
+                    }
+                    if answer.is_some() {
+                        kept = Some(stream);
+                    }
+                    drop(seen);
+                    std::thread::sleep(Duration::from_millis(4));
+                }
+            });
+        }
+    });
+    seen.into_inner().expect("no panic")
+}
+
+/// Waits until all that was accepted was delivered, each non-idempotent message once and with its own body.
+fn all_delivered(endpoint: &Endpoint, seen: &Seen) {
+    let missing = |ids: &BTreeSet<String>| -> Vec<String> {
+        seen.accepted.keys().filter(|id| !ids.contains(*id)).cloned().collect()
+    };
+    let until = Instant::now() + Duration::from_millis(TIME_LEFT_MS) + SLACK;
+    while !missing(&endpoint.ids().into_iter().collect()).is_empty() && Instant::now() < until {
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    let lost = missing(&endpoint.ids().into_iter().collect());
+    assert!(
+        lost.is_empty(),
+        "{} of {} accepted were not delivered: {lost:?}",
+        lost.len(),
+        seen.accepted.len()
+    );
+    let heard = endpoint.heard.lock().expect("no panic");
+    let mut once = BTreeSet::new();
+    for (id, body, _) in heard.iter() {
+        assert_eq!(*body, id.repeat(40).into_bytes(), "{id} has another body");
+        let odd = id.rsplit('-').next().and_then(|n| n.parse::<u64>().ok()).is_some_and(|n| n % 2 == 1);
+        assert!(once.insert(id.clone()) || !odd, "{id} came twice");
+    }
+}
+
+fn fault(call: &str, error: &str, probability: f64, from_ms: u64, to_ms: u64) -> String {
+    format!(
+        "[[fault]]\ncall = \"{call}\"\nerror = \"{error}\"\nprobability = {probability}\nfrom_ms = {from_ms}\nto_ms = {to_ms}\n"
+    )
+}
+
+/// Starts a relay on an empty folder while a call fails for 700 ms, and has it deliver a message.
+fn starts_although(name: &str, call: &str, error: &str) {
+    let endpoint = Endpoint::start();
+    let relay = Relay::new(name, &endpoint);
+    let _program = relay.start(&fault(call, error, 1.0, 0, 700), 1);
+    assert!(relay.faults_made() > 0, "no fault was made");
+    let seen = clients(&relay, "s", 1, Duration::from_millis(100));
+    assert!(!seen.accepted.is_empty() && seen.unanswered.is_empty());
+    all_delivered(&endpoint, &seen);
+}
+
+#[test]
+fn start_on_an_empty_disk_waits_while_files_cannot_be_created() {
+    starts_although("faults-create", "create", "ENOSPC");
+}
+
+#[test]
+fn start_waits_while_the_state_folder_cannot_be_created() {
+    starts_although("faults-mkdir", "mkdir", "EIO");
+}
+
+#[test]
+fn start_waits_while_the_lock_cannot_be_taken() {
+    starts_although("faults-lock", "lock", "ENOLCK");
+}
+
+#[test]
+fn start_waits_while_no_socket_is_to_be_had() {
+    starts_although("faults-socket", "socket", "ENFILE");
+}
+
+#[test]
+fn start_waits_while_no_event_loop_is_to_be_had() {
+    starts_although("faults-epoll", "epoll_create", "EMFILE");
+}
+
+#[test]
+fn start_waits_while_its_address_cannot_be_bound() {
+    starts_although("faults-bind", "bind", "ENOBUFS");
+}
+
+#[test]
+fn start_waits_while_the_journal_cannot_be_read_and_its_torn_end_cannot_be_cut() {
+    let endpoint = Endpoint::start();
+    let relay = Relay::new("faults-torn-start", &endpoint);
+    let mut program = relay.start("", 1);
+    let seen = clients(&relay, "t", 1, Duration::from_millis(100));
+    all_delivered(&endpoint, &seen);
+    program.kill();
+    let segment = newest_segment(&relay.state());
+    let mut file = std::fs::File::options().append(true).open(segment).expect("a segment");
+    file.write_all(&[40, 0, 0, 0, 1, 2, 3, 4, 5]).expect("a torn record");
+    let faults = fault("read", "EIO", 1.0, 0, 400) + &fault("truncate", "EIO", 1.0, 0, 60_000);
+    let _program = relay.start(&faults, 1);
+    assert!(relay.faults_made() > 0, "no fault was made");
+    let seen = clients(&relay, "u", 1, Duration::from_millis(100));
+    assert!(!seen.accepted.is_empty());
+    all_delivered(&endpoint, &seen);
+}
+
+fn newest_segment(state: &Path) -> PathBuf {
+    let files = std::fs::read_dir(state).expect("a folder").flatten().map(|entry| entry.path());
+    let number = |path: &PathBuf| path.file_name()?.to_str()?.strip_prefix("journal-")?.parse::<u64>().ok();
+    files.filter(|path| number(path).is_some()).max_by_key(number).expect("a segment")
+}
+
+/// Plays clients over a relay whose disk fails for a while, and then kills and restarts it.
+fn outlives_disk(name: &str, faults: &str, seed: u64) {
+    let endpoint = Endpoint::start();
+    let relay = Relay::new(name, &endpoint);
+    let mut program = relay.start(faults, seed);
+    let seen = clients(&relay, "d", 8, Duration::from_millis(2500));
+    assert!(relay.faults_made() > 0, "no fault was made");
+    assert!(program.runs(), "the process ended");
+    assert_eq!(seen.unanswered, Vec::<String>::new());
+    all_delivered(&endpoint, &seen);
+    let last = clients(&relay, "e", 2, Duration::from_millis(150));
+    assert!(!last.accepted.is_empty(), "it takes messages again");
+    all_delivered(&endpoint, &last);
+    program.kill();
+    let _program = relay.start("", seed);
+    let after = clients(&relay, "f", 2, Duration::from_millis(100));
+    all_delivered(&endpoint, &after);
+}
+
+#[test]
+fn a_full_disk_ends_no_process_and_loses_nothing_that_was_accepted() {
+    outlives_disk("faults-full", &fault("write", "ENOSPC", 1.0, 600, 1300), 1);
+}
+
+#[test]
+fn writes_that_fail_in_part_damage_nothing_that_follows_them() {
+    let torn = fault("write", "EIO", 0.3, 500, 1500).replace("call", "effect = \"torn\"\ncall");
+    outlives_disk("faults-torn", &torn, 7);
+}
+
+#[test]
+fn writes_that_fail_in_part_and_cannot_be_cut_back_damage_nothing() {
+    let torn = fault("write", "ENOSPC", 0.3, 500, 1500).replace("call", "effect = \"torn\"\ncall");
+    outlives_disk("faults-uncut", &(torn + &fault("truncate", "EIO", 0.8, 0, 60_000)), 21);
+}
+
+#[test]
+fn an_old_segment_that_cannot_be_removed_ends_no_process() {
+    outlives_disk("faults-unlink", &fault("unlink", "EIO", 1.0, 0, 2000), 22);
+}
+
+#[test]
+fn interrupted_calls_end_no_connection() {
+    let faults: String = ["recv", "send", "accept", "wait", "connect", "read", "write"]
+        .iter()
+        .map(|call| fault(call, "EINTR", 0.2, 300, 60_000))
+        .collect();
+    outlives_disk("faults-eintr", &faults, 7);
+}
+
+#[test]
+fn short_reads_and_writes_leave_nothing_unanswered() {
+    let faults: String = ["recv", "send", "read", "write"]
+        .iter()
+        .map(|call| fault(call, "EIO", 0.5, 300, 60_000).replace("error = \"EIO\"", "effect = \"short\""))
+        .collect();
+    outlives_disk("faults-short", &faults, 21);
+}
+
+#[test]
+fn connections_that_this_machine_cannot_make_for_a_moment_end_no_message() {
+    let faults = fault("connect", "EADDRNOTAVAIL", 0.5, 0, 60_000)
+        + &fault("socket", "ENFILE", 0.5, 300, 1500)
+        + &fault("accept", "ECONNABORTED", 0.3, 0, 60_000);
+    outlives_disk("faults-connect", &faults, 22);
+}
+
+/// Kills a relay that holds messages, and starts it with its wall clock stepped: what is held keeps its time.
+fn keeps_time_over_a_step(name: &str, step_ms: i64) {
+    let endpoint = Endpoint::start();
+    let relay = Relay::new(name, &endpoint);
+    endpoint.shut.store(true, Ordering::Relaxed);
+    let mut program = relay.start("", 1);
+    let seen = clients(&relay, "c", 2, Duration::from_millis(200));
+    assert!(!seen.accepted.is_empty());
+    program.kill();
+    let program = relay.start(&format!("[[step]]\nat_ms = 0\nby_ms = {step_ms}\n"), 1);
+    std::thread::sleep(Duration::from_millis(300));
+    let (_, status) = order(&program.door, "GET", "/status");
+    assert_eq!(status["held"], seen.accepted.len(), "all still have time");
+    let last = seen.accepted.values().max().expect("one was accepted");
+    let until = *last + Duration::from_millis(TIME_LEFT_MS) + SLACK;
+    std::thread::sleep(until.saturating_duration_since(Instant::now()));
+    let (_, status) = order(&program.door, "GET", "/status");
+    assert_eq!(status["held"], 0, "none has time left");
+}
+
+#[test]
+fn a_wall_clock_that_steps_ahead_over_a_restart_takes_no_time_from_a_message() {
+    keeps_time_over_a_step("faults-ahead", 3_600_000);
+}
+
+#[test]
+fn a_wall_clock_that_steps_back_over_a_restart_gives_no_time_to_a_message() {
+    keeps_time_over_a_step("faults-back", -3_600_000);
+}
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -62,6 +62,18 @@
         Program::launch(command)
     }
 
+    /// Starts it with these variables, and does not wait.
+    pub fn launched_with(environment: &[(&str, &str)]) -> Self {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_tulipfall"));
+        command.envs(environment.iter().copied());
+        Program::launch(command)
+    }
+
+    /// Whether it has not ended.
+    pub fn runs(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Starts it with a listening socket as descriptor 3, as the platform does, and does not wait.
     pub fn inherit(listener: &TcpListener, environment: &[(&str, &str)]) -> Self {
         Self::inherit_with(listener, &[], environment)
