--- a/crates/faults/tests/scenario.rs
+++ b/crates/faults/tests/scenario.rs
@@ -25,5 +25,5 @@
         assert!(why.starts_with("line 2: ") && why.contains(expected), "{why}");
     }
     let why = refused(&format!("call = \"write\"\nerror = \"EIO\"\n{window}\ntypo = 1"));
-    assert!(why.contains("typo") && why.contains("line 7"), "{why}");
+    assert!(why.contains("typo") && why.contains("line 8"), "{why}");
 }
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -4,8 +4,11 @@
 
 mod book;
 mod bytes;
+mod error;
+mod frames;
 mod journal;
 mod owner;
+mod storage;
 pub mod takeover;
 
 use ::bytes::Bytes;
@@ -16,32 +19,10 @@
 use crate::interface::{Class, Micros};
 
 pub use self::bytes::{decode, encode};
+pub use error::{Persistence, StoreError, persistence};
 pub use journal::{Journal, Mark, Room, TO_END, TO_END_RECORDED, mark};
 pub use owner::{Owner, own};
-
-/// What a store cannot do.
-#[derive(Debug, thiserror::Error)]
-pub enum StoreError {
-    /// The disk, or the server behind the store, failed.
-    #[error("store: {0}")]
-    Io(#[from] std::io::Error),
-    /// A record is damaged where no interrupted write explains it.
-    #[error("store: {file} is damaged at byte {at}; move it away to start without what it holds")]
-    Damaged {
-        /// The file.
-        file: String,
-        /// Where.
-        at: u64,
-    },
-    /// A write would go over the limit on the disk.
-    #[error("store: the limit of {limit} bytes leaves no room for {need} more")]
-    Full {
-        /// The limit.
-        limit: u64,
-        /// What was to be written.
-        need: u64,
-    },
-}
+pub use storage::{Folder, Storage};
 
 /// A message as the store holds it. Class and tenant go by name, as their order may change between starts.
 #[derive(Clone, Debug, PartialEq)]
