Refuse new messages while the store fails, and go on by itself once it works

What callers saw: the relay exited with 1 on the first failed write (ENOSPC, EIO, a write cut short), every client cut off.

Cause: Runtime::run returned with the first error of commit.

Change: a failed write begins an outage (src/runtime/outage.rs). Messages whose acceptance could not be stored are refused and forgotten with all that was decided about them; new ones get 503 with Retry-After; no call starts whose start is not stored, and one that waits beyond its time ends as not sent. What was accepted keeps its deadline: a report is sent without the store once its message's time is up, as no restart could deliver it then. Only a segment that another process began still ends the process.

--- a/src/net/door.rs
+++ b/src/net/door.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 
 use futures_util::{SinkExt, StreamExt};
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::{AbortHandle, JoinSet};
@@ -19,7 +19,7 @@
 use super::http::{Budget, Codec, HttpError, Message, Start};
 use crate::exchange::Clock;
 use crate::interface::Micros;
-use crate::standing::Standing;
+use crate::standing::{Standing, StoreHealth, StoreOutage};
 
 /// Callers at a time; the oldest that is not done makes room for the next.
 const CALLERS: usize = 24;
@@ -116,6 +116,15 @@
     }
 }
 
+/// The state of the store, as operators are shown it.
+fn store(health: &StoreHealth) -> Value {
+    match &health.outage {
+        None => json!({"state": "working", "outages": health.outages}),
+        Some(StoreOutage { since, failures, error }) => json!({"state": "failing", "outages": health.outages,
+            "since": *since as f64 / 1e6, "failures": failures, "error": error}),
+    }
+}
+
 /// What a call is answered.
 fn answer(request: &Message, standing: &Standing) -> Message {
     let Start::Request(method, path) = &request.start else { return Message::response(400, "no request") };
@@ -138,6 +147,9 @@
     let (held, out) = standing.counts();
     let mut body = json!({"state": standing.word(), "ready": standing.ready(), "held": held, "out": out,
         "since": standing.since() as f64 / 1e6});
+    if let Some(fields) = body.as_object_mut() {
+        fields.insert("store".into(), store(&standing.store()));
+    }
     let why = standing.why();
     if !why.is_empty()
         && let Some(fields) = body.as_object_mut()
--- a/src/runtime/effects.rs
+++ b/src/runtime/effects.rs
@@ -4,21 +4,32 @@
 use tokio::sync::oneshot;
 
 use crate::exchange::{Answer, Notice, OutboundCall};
-use crate::interface::{MessageId, TargetId};
+use crate::interface::{MessageId, Micros, TargetId};
 use crate::store::StoreError;
 
 use super::Runtime;
 
+/// The answer to a client.
+pub(super) struct Reply {
+    pub(super) to: oneshot::Sender<Answer>,
+    pub(super) answer: Answer,
+    /// The message that was submitted.
+    pub(super) message: String,
+    /// The key of the receipt that is stored with it, where its front gives one.
+    pub(super) receipt: Option<String>,
+}
+
 /// An effect on the outside.
 pub(super) enum Effect {
     /// Answers a client.
-    Answer(oneshot::Sender<Answer>, Answer),
+    Answer(Reply),
     /// Starts a call.
     Call(MessageId, OutboundCall),
     /// Cancels an attempt, if it is still in flight.
     CallOff(MessageId, u32),
-    /// Sends a non-delivery report.
-    Notice(Notice),
+    /// Sends a non-delivery report. From that time on a restart could not deliver the message any more, so that the report
+    /// holds even where the end is not stored.
+    Notice(Notice, Micros),
     /// Closes the idle connections to an endpoint.
     Close(TargetId),
     /// Passes a numbered entry to the record.
@@ -26,27 +37,26 @@
 }
 
 impl Runtime {
-    /// Stores the records of the batch, then releases its effects.
+    /// Stores the records of the batch, then releases its effects. While the store fails, releases what needs no record.
     pub(super) fn commit(&mut self) -> Result<(), StoreError> {
-        if !self.records.is_empty() {
-            self.journal.append(self.clock.now(), &self.records)?;
-            self.records.clear();
-            self.unwritten = 0;
-        }
-        for effect in std::mem::take(&mut self.effects) {
-            self.release(effect);
+        if self.store_pending()? {
+            self.release_independent();
+        } else {
+            for effect in std::mem::take(&mut self.effects) {
+                self.release(effect);
+            }
         }
         self.standing.count(self.held.len(), self.out);
         Ok(())
     }
 
-    fn release(&mut self, effect: Effect) {
+    pub(super) fn release(&mut self, effect: Effect) {
         match effect {
             // The front reports a client that has left.
-            Effect::Answer(reply, answer) => drop(reply.send(answer)),
+            Effect::Answer(reply) => drop(reply.to.send(reply.answer)),
             Effect::Call(id, call) => self.start_call(id, call),
             Effect::CallOff(id, attempt) => self.cancel_call(id, attempt),
-            Effect::Notice(notice) => drop(self.notices.send(notice)),
+            Effect::Notice(notice, _) => drop(self.notices.send(notice)),
             Effect::Close(target) => self.caller.close(target),
             Effect::Record(number, entry) => {
                 if let Some(outbox) = &self.outbox {
--- a/src/runtime/held.rs
+++ b/src/runtime/held.rs
@@ -66,6 +66,13 @@
         }
     }
 
+    /// Forgets an id: its message was never accepted.
+    pub(super) fn forget(&mut self, id: &str) {
+        if self.ids.remove(id) {
+            self.order.retain(|(_, other)| **other != *id);
+        }
+    }
+
     /// Whether a message of this id ended recently.
     pub(super) fn contains(&self, id: &str) -> bool {
         self.ids.contains(id)
--- a/src/runtime/intake.rs
+++ b/src/runtime/intake.rs
@@ -9,6 +9,7 @@
 use crate::interface::*;
 use crate::store::{Record, Stored};
 
+use super::effects::Reply;
 use super::{Effect, Held, Runtime};
 
 impl Runtime {
@@ -16,12 +17,16 @@
     pub(super) fn submitted(
         &mut self, exchange: Arc<Exchange>, receipt: Option<Receipt>, reply: oneshot::Sender<Answer>,
     ) {
+        let receipt_key = receipt.as_ref().map(|receipt| receipt.key.clone());
+        let reply = |answer| {
+            Effect::Answer(Reply { to: reply, answer, message: exchange.id.clone(), receipt: receipt_key })
+        };
         let receipt_bytes = receipt.as_ref().map_or(0, |receipt| receipt.bytes.len());
         let key_bytes = exchange.idempotency_key.as_ref().map_or(0, |key| key.as_str().len());
         let bytes = exchange.body.len() + key_bytes + receipt_bytes + self.journal.to_end() as usize;
         let class = match self.admit(&exchange, bytes) {
             Ok(class) => class,
-            Err(answer) => return self.effects.push(Effect::Answer(reply, answer)),
+            Err(answer) => return self.effects.push(reply(answer)),
         };
         let trace = self.outbox.is_some().then(|| Trace::new(self.clock.now()));
         let arrival = self.arrival(exchange.clone(), class, 0, trace.clone());
@@ -36,7 +41,7 @@
         } else {
             self.forget(id);
         }
-        self.effects.push(Effect::Answer(reply, answer));
+        self.effects.push(reply(answer));
         self.carry_out(actions);
     }
 
@@ -56,6 +61,9 @@
         if self.held_bytes + exchange.body.len() > self.max_bytes {
             return Err(Answer::Refused("as many bytes held as may be".into(), None));
         }
+        if let Some(refusal) = self.refused_by_store() {
+            return Err(refusal);
+        }
         self.check_store(bytes)?;
         Ok(class)
     }
--- a/src/runtime/mod.rs
+++ b/src/runtime/mod.rs
@@ -11,6 +11,7 @@
 mod held;
 mod inputs;
 mod intake;
+mod outage;
 mod outcomes;
 mod recovery;
 
@@ -37,6 +38,7 @@
 
 use effects::Effect;
 use held::{EndedIds, Held};
+use outage::Outage;
 
 /// Maximum number of inputs processed together, with one write to the store.
 const BATCH: usize = 64;
@@ -101,6 +103,8 @@
     unwritten: usize,
     /// Effects to be released once the records are stored.
     effects: Vec<Effect>,
+    /// The store fails.
+    outage: Option<Outage>,
     /// Non-delivery reports that were sent and are not acknowledged yet.
     owed: HashSet<String>,
     ended: EndedIds,
@@ -148,6 +152,7 @@
             records: Vec::new(),
             unwritten: 0,
             effects: Vec::new(),
+            outage: None,
             owed: HashSet::new(),
             ended: EndedIds::default(),
             revision: Arc::default(),
@@ -195,7 +200,7 @@
     /// Serves until it is stopped or another process takes over.
     ///
     /// # Errors
-    /// Where the store fails; nothing was released that the store does not hold.
+    /// Where another process owns the store; nothing was released that the store does not hold.
     pub async fn run(mut self, mut inputs: mpsc::Receiver<Input>) -> Result<End, StoreError> {
         let mut batch = Vec::with_capacity(BATCH);
         loop {
@@ -209,7 +214,8 @@
             if self.done_at().is_some_and(|at| at <= self.clock.now()) {
                 return Ok(End::Stopped);
             }
-            if let Some(offer) = self.offer.take()
+            if self.all_stored()
+                && let Some(offer) = self.offer.take()
                 && self.hand_over(offer).await
             {
                 return Ok(End::HandedOver(self.left_out(), inputs));
@@ -220,7 +226,7 @@
     /// The time of the next timer or of the end of a stop, whichever is earlier.
     fn next_wake(&self) -> Micros {
         let timer = self.timers.first().map(|(at, _)| *at);
-        [timer, self.done_at()].into_iter().flatten().min().unwrap_or(Micros::MAX)
+        [timer, self.done_at(), self.outage_wake()].into_iter().flatten().min().unwrap_or(Micros::MAX)
     }
 
     /// Processes a batch of inputs and all timers that are due, then stores and releases the result.
@@ -244,7 +250,7 @@
     /// The time at which a stopping process may end: with nothing left to do, or when its time is up.
     fn done_at(&self) -> Option<Micros> {
         let (requested, until) = self.stop?;
-        let idle = self.held.is_empty() && self.owed.is_empty();
+        let idle = self.held.is_empty() && self.owed.is_empty() && self.all_stored();
         Some(if idle { (requested + LINGER).min(until + LINGER) } else { until + LINGER / 2 })
     }
 
--- a/src/runtime/outcomes.rs
+++ b/src/runtime/outcomes.rs
@@ -112,7 +112,7 @@
         self.ended.remember(now, &id);
         if let Some(notice) = notice.clone() {
             self.owed.insert(id.clone());
-            self.effects.push(Effect::Notice(notice));
+            self.effects.push(Effect::Notice(notice, exchange.due));
         }
         self.records.push(Record::Ended { id, notice });
         if let (Some(outbox), Some(trace)) = (&self.outbox, trace) {
--- a/src/runtime/recovery.rs
+++ b/src/runtime/recovery.rs
@@ -39,7 +39,8 @@
     pub(super) fn resend(&mut self, notices: Vec<Notice>) {
         for notice in notices {
             self.owed.insert(notice.id.clone());
-            self.effects.push(Effect::Notice(notice));
+            // Its end is stored.
+            self.effects.push(Effect::Notice(notice, Micros::MIN));
         }
     }
 
--- a/src/standing.rs
+++ b/src/standing.rs
@@ -46,6 +46,26 @@
 #[error("this process is {0}")]
 pub struct NotTaken(&'static str);
 
+/// Whether the store takes what it is told.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StoreHealth {
+    /// The outage that goes on, if one does.
+    pub outage: Option<StoreOutage>,
+    /// Number of outages so far, the current one included.
+    pub outages: u64,
+}
+
+/// A span in which the store fails.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct StoreOutage {
+    /// When it began, in Unix microseconds.
+    pub since: Micros,
+    /// Number of writes that failed.
+    pub failures: u32,
+    /// The last error.
+    pub error: String,
+}
+
 /// The words. One writer decides its phase; orders come from the operators' door.
 #[derive(Debug)]
 pub struct Standing {
@@ -56,6 +76,7 @@
     held: AtomicUsize,
     out: AtomicUsize,
     why: Mutex<String>,
+    store: Mutex<StoreHealth>,
     leaving: watch::Sender<Leaving>,
 }
 
@@ -70,6 +91,7 @@
             held: AtomicUsize::new(0),
             out: AtomicUsize::new(0),
             why: Mutex::default(),
+            store: Mutex::default(),
             leaving: watch::Sender::new(Leaving::No),
         }
     }
@@ -122,6 +144,23 @@
         self.out.store(out, Ordering::Relaxed);
     }
 
+    /// Whether the store takes what it is told.
+    pub fn store(&self) -> StoreHealth {
+        self.store.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Notes that a write of the store failed.
+    pub fn store_failing(&self, since: Micros, failures: u32, error: &str) {
+        let mut store = self.store.lock().unwrap_or_else(PoisonError::into_inner);
+        store.outages += u64::from(store.outage.is_none());
+        store.outage = Some(StoreOutage { since, failures, error: error.into() });
+    }
+
+    /// Notes that the store works again.
+    pub fn store_working(&self) {
+        self.store.lock().unwrap_or_else(PoisonError::into_inner).outage = None;
+    }
+
     /// What keeps it from the next phase; empty where nothing does.
     pub fn why(&self) -> String {
         self.why.lock().unwrap_or_else(PoisonError::into_inner).clone()
