Take an interrupted call for no end of a connection, and no local failure for an endpoint's

Cause: framed.next, framed.send and peek return Interrupted as an error, and the fronts end the connection on any error. Errors of connect that are this machine's own (no descriptor, port, memory or network) counted against the endpoint.

Change: every stream socket goes through net::stream::Stream, which makes an interrupted call again, pauses 5 ms on a shortage of memory, and gives up readiness only when a call would block, so that a short count can leave no bytes waiting for an event. A connection that fails locally is tried again within the connect timeout; where it lasts, the call ends as not sent, which says nothing of the endpoint. accept goes on at once after ECONNABORTED and EINTR, and warns once a second at most. The listener of successors outlives a failed accept.

--- a/src/handover/link.rs
+++ b/src/handover/link.rs
@@ -15,6 +15,7 @@
 use crate::exchange::{Answer, CallEnd, Exchange};
 use crate::handed::Handed;
 use crate::net::http::MOST_BODY;
+use crate::net::stream::Stream;
 
 /// What is said without a body may have so many bytes.
 const MOST_HEAD: usize = 16 << 20;
@@ -62,7 +63,7 @@
 pub struct Codec;
 
 /// A link.
-pub type Link = Framed<UnixStream, Codec>;
+pub type Link = Framed<Stream<UnixStream>, Codec>;
 
 impl Decoder for Codec {
     type Item = Word;
@@ -138,7 +139,7 @@
 /// Where nobody does.
 pub async fn call(folder: &Path) -> std::io::Result<Link> {
     let folder = File::open(folder)?;
-    Ok(Framed::new(UnixStream::connect(place(&folder)).await?, Codec))
+    Ok(Framed::new(Stream::new(UnixStream::connect(place(&folder)).await?), Codec))
 }
 
 #[cfg(test)]
--- a/src/handover/old.rs
+++ b/src/handover/old.rs
@@ -19,7 +19,10 @@
 use crate::input::Input;
 use crate::interface::Micros;
 use crate::net::inbound::Inbound;
+use crate::net::stream::Stream;
 
+/// Pause after a process that calls could not be accepted, in microseconds.
+const ACCEPT_AGAIN: Micros = 250_000;
 /// How often the clients' connections that are left are counted.
 const COUNT_EVERY: Micros = 50_000;
 /// Connections that clients keep without a word are left behind after this.
@@ -36,8 +39,15 @@
     taken: mpsc::Sender<(Link, Micros)>,
 ) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else { return };
-        let mut link = Framed::new(stream, Codec);
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                warn!("handover: accept: {error}");
+                tokio::time::sleep_until(clock.instant(clock.now() + ACCEPT_AGAIN)).await;
+                continue;
+            }
+        };
+        let mut link = Framed::new(Stream::new(stream), Codec);
         let by = clock.instant(clock.now() + PATIENCE);
         let hello = tokio::time::timeout_at(by, link.next()).await;
         let why = match hello {
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -10,14 +10,16 @@
 use record::model::Evidence;
 use tokio::net::TcpStream;
 use tokio_util::codec::Framed;
+use tracing::{debug, warn};
 
 use super::clearance::Clearance;
 use super::http::{AnswerCodec, HttpError, MOST_BODY, Message, Part};
 use super::quiet;
+use super::stream::{Stream, failed_locally};
 use crate::exchange::{Clock, OutboundCall};
 use crate::interface::{Micros, Outcome, TargetId};
 
-type Connection = Framed<TcpStream, AnswerCodec>;
+type Connection = Framed<Stream, AnswerCodec>;
 
 /// Idle connections kept to one endpoint.
 const MOST_IDLE: usize = 16;
@@ -27,6 +29,8 @@
 const REST_WITHIN: Micros = 100_000;
 /// ... and so long where it tells all but a wait: cut off sooner, one that comes in pieces would not be heard.
 const REFUSAL_WITHIN: Micros = 500_000;
+/// A connection that this machine could not make is tried again after this at first, in microseconds.
+const LOCAL_RETRY: Micros = 2_000;
 /// An idle connection is retired when this part of its idle life is left.
 const RETIRE_PART: Micros = 10;
 
@@ -110,14 +114,8 @@
             Some(idle) => idle,
             None => {
                 progress.opened = true;
-                let by = self.clock.instant(self.clock.now() + self.connect_within);
-                match tokio::time::timeout_at(by, TcpStream::connect(&*place.0)).await {
-                    Ok(Ok(stream)) => {
-                        let _ = stream.set_nodelay(true);
-                        (Framed::new(stream, AnswerCodec::new(MOST_BODY)), self.clock.now())
-                    }
-                    _ => return Err(Outcome::ConnectFailed),
-                }
+                let stream = self.connect(&place.0).await?;
+                (Framed::new(stream, AnswerCodec::new(MOST_BODY)), self.clock.now())
             }
         };
         let withdrawn = async {
@@ -177,6 +175,36 @@
         }
     }
 
+    /// Makes a connection. A failure of this machine's own is tried again; where it lasts, nothing was sent and nothing
+    /// learned of the other side.
+    async fn connect(&self, address: &str) -> Result<Stream, Outcome> {
+        let by = self.clock.now() + self.connect_within;
+        let mut interval = LOCAL_RETRY;
+        loop {
+            let connect = TcpStream::connect(address);
+            match tokio::time::timeout_at(self.clock.instant(by), connect).await {
+                Ok(Ok(socket)) => {
+                    let _ = socket.set_nodelay(true);
+                    return Ok(Stream::new(socket));
+                }
+                Ok(Err(error)) if failed_locally(&error) => {
+                    let again = self.clock.now() + interval;
+                    if again >= by {
+                        warn!(endpoint = address, "no connection can be made from here: {error}");
+                        return Err(Outcome::Skipped);
+                    }
+                    tokio::time::sleep_until(self.clock.instant(again)).await;
+                    interval *= 2;
+                }
+                Ok(Err(error)) => {
+                    debug!(endpoint = address, "connect: {error}");
+                    return Err(Outcome::ConnectFailed);
+                }
+                Err(_) => return Err(Outcome::ConnectFailed),
+            }
+        }
+    }
+
     /// An idle connection that the other side has not ended and on which nothing is left to read, and since when it
     /// is idle.
     async fn idle(&self, place: &Place) -> Option<(Connection, Micros)> {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -12,6 +12,7 @@
 use tokio_util::codec::Framed;
 
 use super::http::{Codec, Message, Start};
+use super::stream::Stream;
 use tracing::{debug, info, warn};
 
 use crate::draw;
@@ -131,7 +132,7 @@
     Ok(Member { entry, id, address: text("host_port")?.into() })
 }
 
-type Connection = Framed<TcpStream, Codec>;
+type Connection = Framed<Stream, Codec>;
 
 /// Where something is to be asked or told, as the newest configuration has it.
 pub type Address = watch::Receiver<Option<Arc<str>>>;
@@ -143,9 +144,12 @@
     let answer = async {
         let mut connection = match kept.take() {
             Some(connection) => connection,
-            None => Framed::new(TcpStream::connect(address).await.ok()?, Codec::client(MOST_LIST)),
+            None => {
+                let socket = TcpStream::connect(address).await.ok()?;
+                let _ = socket.set_nodelay(true);
+                Framed::new(Stream::new(socket), Codec::client(MOST_LIST))
+            }
         };
-        let _ = connection.get_ref().set_nodelay(true);
         connection.send(request).await.ok()?;
         let answer = connection.next().await?.ok()?;
         if answer.keep_alive {
--- a/src/net/door.rs
+++ b/src/net/door.rs
@@ -17,6 +17,7 @@
 use tracing::{info, warn};
 
 use super::http::{Budget, Codec, HttpError, Message, Start};
+use super::stream::Stream;
 use crate::exchange::Clock;
 use crate::interface::Micros;
 use crate::standing::{Standing, StoreHealth, StoreOutage};
@@ -95,7 +96,7 @@
 /// One call a connection.
 async fn call(stream: TcpStream, standing: Arc<Standing>, clock: Clock, budget: Arc<Budget>) {
     let _ = stream.set_nodelay(true);
-    let mut framed = Framed::new(stream, Codec::server(MOST_BODY, budget));
+    let mut framed = Framed::new(Stream::new(stream), Codec::server(MOST_BODY, budget));
     let by = clock.instant(clock.now() + WHOLE_WITHIN);
     let mut answer = match tokio::time::timeout_at(by, framed.next()).await {
         Ok(None | Some(Err(HttpError::Io(_)))) => return,
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -4,6 +4,7 @@
 
 use std::borrow::Cow;
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -18,6 +19,7 @@
 use super::Protocol;
 use super::http::{Budget, Codec, HttpError, IDEMPOTENCY_KEY, MOST_BODY, Message, Start};
 use super::quiet;
+use super::stream::Stream;
 use crate::draw;
 use crate::exchange::{Answer, Clock, Exchange, IdempotencyKey, IdempotencyKeyError};
 use crate::input::Input;
@@ -49,6 +51,8 @@
 const LEAVE_NEW: Micros = 1_000_000;
 /// While there is no place, it is looked for one so often.
 const LOOK_AGAIN: Micros = 10_000;
+/// Shortest time between two log lines about connections that cannot be accepted, in microseconds.
+const WARN_EVERY: Micros = 1_000_000;
 /// An answer is written within this, or not at all.
 const ANSWER_WITHIN: Micros = 1_000_000;
 /// After the last answer what still comes is read for so long, and so many bytes of it.
@@ -216,6 +220,7 @@
     let clock = inbound.clock;
     let (next, guests, freed) = (AtomicUsize::new(0), Mutex::default(), Notify::new());
     let places = Arc::new(Places { clock, most, next, guests, freed });
+    let mut warn_at = Micros::MIN;
     loop {
         while !places.look() {
             tokio::select! {
@@ -232,9 +237,14 @@
                     inbound.guests.fetch_sub(1, Ordering::Relaxed);
                 });
             }
+            // The client has gone, or the call was interrupted: the next one may be there.
+            Err(error) if matches!(error.kind(), ErrorKind::ConnectionAborted | ErrorKind::Interrupted) => {}
             // Guards against a spin while descriptors are short: the others go on.
             Err(error) => {
-                warn!("accept: {error}");
+                if clock.now() >= warn_at {
+                    warn_at = clock.now() + WARN_EVERY;
+                    warn!("accept: {error}");
+                }
                 tokio::time::sleep_until(clock.instant(clock.now() + LOOK_AGAIN)).await;
             }
         }
@@ -269,7 +279,7 @@
         Front::Beside(front) => (front.most_message(), PARTNERS_WITHIN),
         Front::Platform(_) => (MOST_BODY, WHOLE_WITHIN),
     };
-    let mut framed = Framed::new(stream, Codec::server(most, inbound.budget.clone()));
+    let mut framed = Framed::new(Stream::new(stream), Codec::server(most, inbound.budget.clone()));
     let mut leaving = inbound.standing.leaving();
     let accepted = clock.now();
     // Each has a moment of its own, so that clients do not all come to the others at once.
@@ -361,7 +371,7 @@
 }
 
 /// The last answer of a connection whose other side may still be sending.
-async fn last(clock: Clock, mut framed: Framed<TcpStream, Codec>, mut answer: Message, place: &Place) {
+async fn last(clock: Clock, mut framed: Framed<Stream, Codec>, mut answer: Message, place: &Place) {
     answer.keep_alive = false;
     place.at(Stage::Leaving);
     let until = clock.instant(clock.now() + ANSWER_WITHIN);
@@ -372,7 +382,7 @@
 
 /// Ends a connection so that its last answer arrives: closed with bytes unread, it would be reset, and the answer
 /// might be lost with it.
-async fn drain(clock: Clock, mut stream: TcpStream, place: &Place) {
+async fn drain(clock: Clock, mut stream: Stream, place: &Place) {
     place.at(Stage::Leaving);
     if stream.shutdown().await.is_err() {
         return;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,17 +8,19 @@
 pub mod http;
 pub mod inbound;
 pub mod outbound;
+pub mod stream;
 
 use std::future::Future;
+use std::io::ErrorKind;
 use std::pin::Pin;
 
 use record::model::Expected;
-use tokio::net::TcpStream;
 
 use crate::exchange::{Exchange, OutboundCall};
 use crate::interface::{Outcome, Report};
 use connections::Progress;
 use http::Message;
+use stream::Stream;
 
 /// How an attempt ended: its outcome, whether the message is over elsewhere, and what was told of a limit.
 pub type Ended = (Outcome, bool, Report);
@@ -45,8 +47,13 @@
 
 /// Whether nothing is left to read on a connection that is open, as the system has it at this moment: what the
 /// event loop knows is older.
-fn quiet(stream: &TcpStream) -> bool {
+fn quiet(stream: &Stream) -> bool {
     let mut byte = [std::mem::MaybeUninit::uninit()];
-    let peeked = socket2::SockRef::from(stream).peek(&mut byte);
-    matches!(peeked, Err(error) if error.kind() == std::io::ErrorKind::WouldBlock)
+    loop {
+        let peeked = socket2::SockRef::from(stream.socket()).peek(&mut byte);
+        match peeked.map_err(|error| error.kind()) {
+            Err(ErrorKind::Interrupted) => {}
+            peeked => return peeked == Err(ErrorKind::WouldBlock),
+        }
+    }
 }
