Wait at a start for what the machine is short of for a moment, in place of an end

What callers saw: n3 and n5 exited with 1 just after their disks were replaced, and stayed down.

Cause: the start took the first error of any call for final. On an empty disk the lock and the folder have to be created, which needs room that a kept disk does not; sockets, the event loop and the signals' descriptors failed the same way, the latter by a panic inside the event loop's crate.

A stop that comes meanwhile refuses what clients handed in and ends well. What lasts (another owner, a damaged record, a folder that is a file) still ends the start by name. Sockets between relays pause 5 ms after a failed read.

--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -3,6 +3,7 @@
 pub mod configuration;
 pub mod control;
 pub mod control_machine;
+mod opening;
 pub mod peers;
 pub mod publishing;
 pub mod record;
--- /dev/null
+++ b/src/command/opening.rs
@@ -0,0 +1,119 @@
+//! What a start needs of the system, tried again while the cause of an error may pass: event loop, signals, listening sockets
+//! and the state folder.
+
+use std::net::SocketAddr;
+use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::sync::Arc;
+
+use tokio::net::TcpListener;
+use tokio::runtime::{Builder, Runtime};
+use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::sync::mpsc;
+use tracing::info;
+
+use tulipfall::config::Config;
+use tulipfall::exchange::Answer;
+use tulipfall::exchange::Clock;
+use tulipfall::handover::new::{Taken, take_over};
+use tulipfall::input::Input;
+use tulipfall::interface::Micros;
+use tulipfall::net::inbound::Inbound;
+use tulipfall::retry::{until_works, until_works_blocking};
+use tulipfall::standing::{Phase, Standing};
+use tulipfall::store::{Journal, Owner, own};
+
+use super::Failure;
+
+/// Time for which a process that ends before it served still answers what comes.
+const ANSWER_FOR: Micros = 500_000;
+/// What a client is told then.
+const STOPPING: &str = "the relay is about to end";
+
+/// The event loop.
+pub fn event_loop() -> std::io::Result<Runtime> {
+    until_works_blocking("event loop", || {
+        let build = || Builder::new_current_thread().enable_all().build();
+        // The handlers of signals are set up inside, which panics where no descriptor is to be had.
+        catch_unwind(AssertUnwindSafe(build)).unwrap_or_else(|_| Err(nix::errno::Errno::EMFILE.into()))
+    })
+}
+
+/// The signals that end the process.
+pub struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    /// Takes them over: until then they end the process at once.
+    pub fn install() -> std::io::Result<Self> {
+        Ok(StopSignals {
+            terminate: signal(SignalKind::terminate())?,
+            interrupt: signal(SignalKind::interrupt())?,
+        })
+    }
+
+    /// Waits for one of them.
+    pub async fn stop(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
+
+/// A socket on which clients or partners connect.
+pub async fn listen(address: SocketAddr, standing: &Standing) -> Result<TcpListener, Failure> {
+    let what = format!("listen {address}");
+    let bound = until_works(&what, standing, async || TcpListener::bind(address).await).await;
+    let listener = bound.map_err(|error| format!("{what}: {error}"))?;
+    // Told, as port 0 lets the system choose one.
+    info!("listening on {}", listener.local_addr()?);
+    Ok(listener)
+}
+
+/// The state folder, once it is this process's, with the journal in it.
+pub struct OpenState {
+    pub owner: Owner,
+    pub journal: Journal,
+    pub told: Option<(Box<tulipfall::handed::Handed>, tulipfall::handover::link::Link)>,
+}
+
+/// Takes the state folder and opens the journal; `from_other` where a process that still runs may hand over.
+pub async fn open_state(
+    config: &Config, from_other: bool, clock: Clock, standing: &Standing,
+) -> Result<OpenState, Failure> {
+    let folder = config.state.display();
+    let Taken { owner, told } = if from_other {
+        take_over(&config.state, &config.name, clock, standing).await?
+    } else {
+        let owner = until_works("state folder", standing, async || own(&config.state)).await;
+        let owner = owner.map_err(|error| format!("{folder}: {error}"))?;
+        let other = || format!("{folder}: another process uses this state folder");
+        Taken { owner: owner.ok_or_else(other)?, told: None }
+    };
+    let open = async || Journal::open(&config.state, config.journal_room());
+    let (journal, _) = until_works("journal", standing, open).await?;
+    Ok(OpenState { owner, journal, told })
+}
+
+/// Ends a process that was told to before it served: what clients handed in meanwhile is refused, so that no request that
+/// was read stays without an answer.
+pub async fn end_unserved(
+    clock: Clock, standing: &Standing, mut inputs: mpsc::Receiver<Input>, front: Arc<Inbound>,
+) {
+    standing.enter(Phase::Stopping);
+    info!("stopping before it served");
+    let by = clock.instant(clock.now() + ANSWER_FOR);
+    let refuse = async {
+        while let Some(input) = inputs.recv().await {
+            if let Input::Handed(_, _, reply) = input {
+                let _ = reply.send(Answer::Refused(STOPPING.into(), None));
+            }
+        }
+    };
+    let _ = tokio::time::timeout_at(by, refuse).await;
+    // Whoever still waits is refused as its input is dropped.
+    drop(inputs);
+    front.answered(clock.now() + ANSWER_FOR).await;
+}
--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -18,7 +18,7 @@
 use tulipfall::exchange::Clock;
 use tulipfall::fleet;
 use tulipfall::handover::link::{self, Link, Word};
-use tulipfall::handover::new::{Taken, keep, places, take_over};
+use tulipfall::handover::new::{keep, places};
 use tulipfall::handover::old::{finish, offer};
 use tulipfall::input::{Input, Retuned};
 use tulipfall::interface::Micros;
@@ -28,12 +28,13 @@
 use tulipfall::net::outbound::Outbound;
 use tulipfall::net::{Protocol, discovery, door};
 use tulipfall::recording::{self, Outbox};
+use tulipfall::retry::until_works;
 use tulipfall::rules::Relay;
 use tulipfall::runtime::{End, Runtime};
 use tulipfall::standing::{Phase, Standing};
-use tulipfall::store::{Journal, own};
 
 use super::Failure;
+use super::opening::{OpenState, StopSignals, end_unserved, event_loop, listen, open_state};
 
 /// After a signal to stop, the last call must have ended within this; the platform kills after 3.7 s.
 const STOP_WITHIN: Micros = 2_500_000;
@@ -52,7 +53,7 @@
 /// Runs a relay until it is stopped. `load` reads the configuration, and is told whether it does so again.
 pub fn start(load: impl Fn(bool) -> Result<Config, ConfigError>) -> Result<(), Failure> {
     let config = load(false)?;
-    tokio::runtime::Builder::new_current_thread().enable_all().build()?.block_on(run(config, load))
+    event_loop()?.block_on(run(config, load))
 }
 
 /// Where discovery is asked and where notices go, as texts.
@@ -102,16 +103,21 @@
 }
 
 async fn run(mut config: Config, load: impl Fn(bool) -> Result<Config, ConfigError>) -> Result<(), Failure> {
-    let clock = Clock::start();
     // Before all else: a signal that finds no handler ends the process.
-    let (mut terminate, mut interrupt) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    let mut signals = StopSignals::install()?;
     let mut hangup = signal(SignalKind::hangup())?;
+    let clock = Clock::start();
     let (inputs, received) = mpsc::channel(INPUTS);
     let (notices, owed) = mpsc::unbounded_channel();
     let standing = Arc::new(Standing::starting(clock));
     // Open before the replay: operators hear then that it starts.
     if let Some(ops) = config.ops {
-        door::open(ops, standing.clone(), clock).map_err(|error| format!("ops {ops}: {error}"))?;
+        tokio::select! {
+            opened = until_works("ops", &standing, async || door::open(ops, standing.clone(), clock)) => {
+                opened.map_err(|error| format!("ops {ops}: {error}"))?;
+            }
+            () = signals.stop() => return Ok(()),
+        }
     }
     let budget = Budget::new(config.limits.memory / MEMORY_READING);
     let front = |front| {
@@ -141,28 +147,30 @@
     // Bound before the replay, so that clients wait for it rather than be turned away. One that is inherited may be
     // served by another process still.
     if inherited.is_none() {
-        let listener = listen(config.listen).await?;
+        let listener = tokio::select! {
+            listener = listen(config.listen, &standing) => listener?,
+            () = signals.stop() => return Ok(()),
+        };
         serving = Some(tokio::spawn(serve(listener, platform.clone(), clients.clone())));
     }
-    let taken = match inherited {
-        None => {
-            let owner = own(&config.state).map_err(|error| format!("{}: {error}", config.state.display()))?;
-            let other = || format!("{}: another process uses this state folder", config.state.display());
-            Taken { owner: owner.ok_or_else(other)?, told: None }
+    let opened = tokio::select! {
+        opened = open_state(&config, inherited.is_some(), clock, &standing) => opened?,
+        () = signals.stop() => {
+            end_unserved(clock, &standing, received, platform).await;
+            return Ok(());
         }
-        Some(_) => tokio::select! {
-            taken = take_over(&config.state, &config.name, clock, &standing) => taken?,
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-        },
     };
-    let Taken { owner, told } = taken;
-
-    let (mut journal, _) = Journal::open(&config.state, config.journal_room())?;
+    let OpenState { owner, mut journal, told } = opened;
     let recorded = match &config.record {
         Some(record) => {
             let (name, state, seed) = (&config.name, &config.state, clock.now().unsigned_abs());
-            Some(recording::start(record, name, state, seed, clock, &mut journal).await?)
+            tokio::select! {
+                started = recording::start(record, name, state, seed, clock, &standing, &mut journal) => Some(started?),
+                () = signals.stop() => {
+                    end_unserved(clock, &standing, received, platform).await;
+                    return Ok(());
+                }
+            }
         }
         None => None,
     };
@@ -211,9 +219,15 @@
             None => fleet::Before::Configured(&known),
             Some((handed, _)) => fleet::Before::HandedOver(handed.endpoints()),
         };
-        let started =
-            fleet::start(setup, rules, snapshot, (clock, seed), (inputs, replaced), process, before).await;
-        let started = started.map_err(|error| format!("peers: {error}"))?;
+        let started = tokio::select! {
+            started = fleet::start(setup, rules, snapshot, (clock, seed), (inputs, replaced), process, before) => {
+                started.map_err(|error| format!("peers: {error}"))?
+            }
+            () = signals.stop() => {
+                end_unserved(clock, &standing, received, platform).await;
+                return Ok(());
+            }
+        };
         (runtime, said, link) = (runtime.among(started.tell), started.said, Some(started.task));
         // What control machines said last goes before the list of the file.
         known = started.endpoints.unwrap_or(known);
@@ -242,7 +256,7 @@
     if let Some((address, as2)) = as2 {
         let as2 = front(Front::Beside(as2));
         let most = Arc::new(AtomicUsize::new(most_partners));
-        tokio::spawn(serve(listen(address).await?, as2.clone(), most));
+        tokio::spawn(serve(listen(address, &standing).await?, as2.clone(), most));
         fronts.push(as2);
     }
     let (links, mut linked) = mpsc::channel(1);
@@ -277,8 +291,7 @@
     let stopping = standing.clone();
     tokio::spawn(async move {
         tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+            () = signals.stop() => {}
             // Emptied in its turn, which the process after this one ends.
             () = leave.notified() => {}
         }
@@ -346,11 +359,3 @@
     info!("listening on {}", listener.local_addr()?);
     Ok(TcpListener::from_std(listener)?)
 }
-
-async fn listen(address: std::net::SocketAddr) -> Result<TcpListener, Failure> {
-    let bound = TcpListener::bind(address).await;
-    let listener = bound.map_err(|error| format!("listen {address}: {error}"))?;
-    // Told, as port 0 lets the system choose one.
-    info!("listening on {}", listener.local_addr()?);
-    Ok(listener)
-}
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::time::Duration;
 
 use ::fleet::keys::Keys;
 use ::fleet::link::{self, Channel, Link};
@@ -35,6 +36,7 @@
 use crate::exchange::{Clock, Member};
 use crate::input::Input;
 use crate::interface::{Hearsay, Micros, RuleFigures};
+use crate::retry::until_works;
 use crate::standing::Standing;
 
 use control::{ASKED, Asked, accept, listen, serve};
@@ -53,6 +55,8 @@
 const BATCH: usize = 64;
 /// Where messages of any worth have to wait for so long at a steward, no relay goes out for work.
 const STRAIN: Micros = 1_000_000;
+/// Pause after an error of a socket that is read or accepted from.
+const AFTER_ERROR: Duration = Duration::from_millis(5);
 /// How a relay is set up in its fleet.
 #[derive(Clone, Debug)]
 pub struct Setup {
@@ -150,9 +154,12 @@
         // Permits tell who is there by themselves; only facts need to know more.
         asks: setup.facts.is_some(),
     };
-    let socket = UdpSocket::bind(setup.listen).await?;
+    let socket = until_works("notes", &standing, async || UdpSocket::bind(setup.listen).await).await?;
     info!("notes between relays on {}", socket.local_addr()?);
-    let control = setup.control.as_deref().map(listen).transpose()?;
+    let control = match setup.control.as_deref() {
+        Some(path) => Some(until_works("control socket", &standing, async || listen(path)).await?),
+        None => None,
+    };
     let link = Link::new(config, now);
     let relays = count(&setup.all);
     let permits = setup.permits.map(|sharing| {
@@ -273,15 +280,20 @@
                     batch.drain(..).for_each(|said| self.told(now, said));
                 }
                 came = self.socket.recv_from(&mut buffer) => {
-                    let Ok((n, from)) = came else { continue };
+                    let Ok((n, from)) = came else {
+                        // Guards against a spin while the socket fails.
+                        tokio::time::sleep(AFTER_ERROR).await;
+                        continue;
+                    };
                     if let Err(error) = self.hear(buffer.get(..n).unwrap_or_default()) {
                         debug!("note of {n} bytes from {from}: {error}");
                     }
                 }
                 Ok(()) = self.replaced.changed() => self.replace(),
                 came = accept(control.as_ref()) => {
-                    if let Ok(stream) = came {
-                        tokio::spawn(serve(stream, ask.clone()));
+                    match came {
+                        Ok(stream) => drop(tokio::spawn(serve(stream, ask.clone()))),
+                        Err(_) => tokio::time::sleep(AFTER_ERROR).await,
                     }
                 }
                 Some((line, answer)) = asked.recv() => drop(answer.send(self.asked(&line))),
--- a/src/handover/new.rs
+++ b/src/handover/new.rs
@@ -19,8 +19,9 @@
 use crate::handed::{Handed, OutNow};
 use crate::input::Input;
 use crate::interface::{Micros, Outcome, Report};
+use crate::retry::until_works;
 use crate::standing::Standing;
-use crate::store::{Owner, mark, own};
+use crate::store::{Mark, Owner, mark, own};
 
 /// The folder, or who has it, is looked for so often.
 const LOOK_AGAIN: Micros = 20_000;
@@ -45,11 +46,13 @@
     let mut known: Option<(Box<Handed>, Link)> = None;
     loop {
         let event = match new {
-            New::Looking | New::Taking => match own(folder)? {
+            New::Looking | New::Taking => match own_when_possible(folder, standing).await? {
                 Some(owner) => {
                     // Whoever had the folder in between has written there: what was told is old then.
                     let as_told = match &known {
-                        Some((handed, _)) if new == New::Taking => handed.journal == mark(folder)?,
+                        Some((handed, _)) if new == New::Taking => {
+                            handed.journal == mark_when_possible(folder, standing).await?
+                        }
                         _ => true,
                     };
                     let action = new.take(if as_told { NewEvent::Owned } else { NewEvent::OwnedLater });
@@ -84,6 +87,14 @@
     }
 }
 
+async fn own_when_possible(folder: &Path, standing: &Standing) -> std::io::Result<Option<Owner>> {
+    until_works("state folder", standing, async || own(folder)).await
+}
+
+async fn mark_when_possible(folder: &Path, standing: &Standing) -> std::io::Result<Mark> {
+    until_works("state folder", standing, async || mark(folder)).await
+}
+
 async fn pause(clock: Clock) {
     tokio::time::sleep_until(clock.instant(clock.now() + LOOK_AGAIN)).await;
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -93,6 +93,7 @@
 pub mod net;
 mod pacing;
 pub mod recording;
+pub mod retry;
 pub mod rules;
 pub mod runtime;
 pub mod standing;
--- a/src/recording.rs
+++ b/src/recording.rs
@@ -2,9 +2,8 @@
 //! the start of the writer behind it. Owns the outbox's numbers. It must never
 //! make a message wait for a database.
 
-use std::fs::File;
-use std::io::Write as _;
 use std::path::Path;
+use std::time::Duration;
 
 use openssl::sha::sha256;
 use record::model::{Effect, Entry, Evidence, Expected, Final, Trace, hex};
@@ -18,6 +17,8 @@
 use crate::exchange::{Answer, Clock, Exchange};
 use crate::input::Input;
 use crate::interface::{Micros, Outcome, Settings};
+use crate::retry::{MayPass, until_works};
+use crate::standing::Standing as Process;
 use crate::store::{Heard, Journal, takeover};
 
 /// Of the disk, this part at most is for entries that wait for the database; of the memory, that part.
@@ -27,6 +28,8 @@
 const USUAL_ENTRY: u64 = 2048;
 /// A start waits so long for a database that does not answer, and goes on without.
 const START_WITHIN: Micros = 3_000_000;
+/// At a start a database that is busy or full is tried again for so long.
+const OPEN_WITHIN: Duration = Duration::from_secs(3);
 /// The least advice to who finds no room.
 const LEAST_ADVICE: Micros = 100_000;
 
@@ -151,6 +154,31 @@
     },
 }
 
+/// A database that cannot be opened.
+struct OpenError(Failure);
+
+impl std::fmt::Display for OpenError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl MayPass for OpenError {
+    /// A disk that is full for a moment, and a database that somebody else holds for a moment.
+    fn may_pass(&self, elapsed: Duration) -> bool {
+        matches!(self.0, Failure::Busy(_) | Failure::Full(_)) && elapsed < OPEN_WITHIN
+    }
+}
+
+impl MayPass for RecordingError {
+    fn may_pass(&self, elapsed: Duration) -> bool {
+        match self {
+            RecordingError::File { error, .. } => error.may_pass(elapsed),
+            RecordingError::NameHeld(..) | RecordingError::Record { .. } => false,
+        }
+    }
+}
+
 fn file_error(path: &Path) -> impl FnOnce(std::io::Error) -> RecordingError {
     let file = path.display().to_string();
     move |error| RecordingError::File { file, error }
@@ -188,13 +216,17 @@
 /// # Errors
 /// Where another process has the folder or the name, or the record cannot be used.
 pub async fn start(
-    recording: &Recording, relay: &str, state: &Path, seed: u64, clock: Clock, journal: &mut Journal,
+    recording: &Recording, relay: &str, state: &Path, seed: u64, clock: Clock, process: &Process,
+    journal: &mut Journal,
 ) -> Result<(Started, mpsc::UnboundedReceiver<Vec<u64>>), RecordingError> {
     let target = recording.target.to_string();
     let marker = state.join("record-taken-over");
     let new = !marker.exists();
     let unusable = |failure| RecordingError::Record { target: target.clone(), failure };
-    match Record::open(&recording.target, relay).await {
+    let opened = until_works("record", process, async || {
+        Record::open(&recording.target, relay).await.map_err(OpenError)
+    });
+    match opened.await.map_err(|OpenError(failure)| failure) {
         Ok(_) => {}
         // Once, at the first start, it has to be asked for what an older program left there.
         Err(failure) if new || matches!(failure, Failure::Schema(_)) => return Err(unusable(failure)),
@@ -206,7 +238,7 @@
     let options = Options {
         target: recording.target.clone(),
         relay: relay.to_string(),
-        holder: holder(state)?,
+        holder: until_works("record", process, async || holder(state)).await?,
         seed,
         figures,
         drop_oldest: recording.drop_oldest,
@@ -244,8 +276,9 @@
         if taken != takeover::Taken::default() {
             info!("{target}: {} unfinished and {} finished taken over", taken.unfinished, taken.finished);
         }
-        let mut file = File::create(&marker).map_err(file_error(&marker))?;
-        writeln!(file, "{} {}", taken.unfinished, taken.finished).map_err(file_error(&marker))?;
+        let text = format!("{} {}\n", taken.unfinished, taken.finished);
+        let mark = async || std::fs::write(&marker, &text).map_err(file_error(&marker));
+        until_works("record", process, mark).await?;
     }
     Ok((Started { handle }, numbers))
 }
