Keep the relay's clock over restarts of one boot, whatever the wall clock does meanwhile

What callers saw: after a step of the wall clock between two processes, 46 to 160 of some 5,000 messages ended more than 2.5 s after their time; with a step ahead all that was held was given up at the start.

Change: src/clock.rs keeps an anchor in the state folder (boot id, monotonic clock, relay's time). On another boot, or without an anchor as after an earlier build, the wall clock is believed. 1,024 bytes of the disk are kept for it.

Ruled out: a monotonic clock that begins anew with each process; an anchor from the future of the clock is not used.

--- a/src/command/opening.rs
+++ b/src/command/opening.rs
@@ -1,19 +1,20 @@
-//! What a start needs of the system, tried again while the cause of an error may pass: event loop, signals, listening sockets
-//! and the state folder.
+//! What a start needs of the system, tried again while the cause of an error may pass: event loop, signals, listening sockets,
+//! the state folder and the clock.
 
 use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind};
+use std::path::Path;
 use std::sync::Arc;
 
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc;
-use tracing::info;
+use tracing::{debug, info};
 
+use tulipfall::clock::{Clock, ClockAnchor};
 use tulipfall::config::Config;
 use tulipfall::exchange::Answer;
-use tulipfall::exchange::Clock;
 use tulipfall::handover::new::{Taken, take_over};
 use tulipfall::input::Input;
 use tulipfall::interface::Micros;
@@ -62,6 +63,19 @@
     }
 }
 
+/// The relay's clock, and what keeps it for later processes.
+pub async fn clock(state: &Path, standing: &Standing) -> std::io::Result<(Clock, Option<ClockAnchor>)> {
+    let earlier = until_works("clock", standing, async || ClockAnchor::read(state)).await?;
+    let goes_on = earlier.is_some();
+    let (clock, anchor) = ClockAnchor::resume(earlier)?;
+    debug!(
+        goes_on,
+        ahead_us = clock.now() - Clock::start().now(),
+        "the clock, and how far it is ahead of the wall clock"
+    );
+    Ok((clock, anchor))
+}
+
 /// A socket on which clients or partners connect.
 pub async fn listen(address: SocketAddr, standing: &Standing) -> Result<TcpListener, Failure> {
     let what = format!("listen {address}");
@@ -81,7 +95,7 @@
 
 /// Takes the state folder and opens the journal; `from_other` where a process that still runs may hand over.
 pub async fn open_state(
-    config: &Config, from_other: bool, clock: Clock, standing: &Standing,
+    config: &Config, from_other: bool, (clock, anchor): (Clock, Option<&ClockAnchor>), standing: &Standing,
 ) -> Result<OpenState, Failure> {
     let folder = config.state.display();
     let Taken { owner, told } = if from_other {
@@ -92,6 +106,10 @@
         let other = || format!("{folder}: another process uses this state folder");
         Taken { owner: owner.ok_or_else(other)?, told: None }
     };
+    if let Some(anchor) = anchor {
+        let kept = until_works("clock", standing, async || anchor.write(&config.state)).await;
+        kept.map_err(|error| format!("{folder}: {error}"))?;
+    }
     let open = async || Journal::open(&config.state, config.journal_room());
     let (journal, _) = until_works("journal", standing, open).await?;
     Ok(OpenState { owner, journal, told })
--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -34,7 +34,7 @@
 use tulipfall::standing::{Phase, Standing};
 
 use super::Failure;
-use super::opening::{OpenState, StopSignals, end_unserved, event_loop, listen, open_state};
+use super::opening::{self, OpenState, StopSignals, end_unserved, event_loop, listen, open_state};
 
 /// After a signal to stop, the last call must have ended within this; the platform kills after 3.7 s.
 const STOP_WITHIN: Micros = 2_500_000;
@@ -106,7 +106,11 @@
     // Before all else: a signal that finds no handler ends the process.
     let mut signals = StopSignals::install()?;
     let mut hangup = signal(SignalKind::hangup())?;
-    let clock = Clock::start();
+    let before_clock = Standing::starting(Clock::start());
+    let (clock, anchor) = tokio::select! {
+        clock = opening::clock(&config.state, &before_clock) => clock?,
+        () = signals.stop() => return Ok(()),
+    };
     let (inputs, received) = mpsc::channel(INPUTS);
     let (notices, owed) = mpsc::unbounded_channel();
     let standing = Arc::new(Standing::starting(clock));
@@ -154,7 +158,7 @@
         serving = Some(tokio::spawn(serve(listener, platform.clone(), clients.clone())));
     }
     let opened = tokio::select! {
-        opened = open_state(&config, inherited.is_some(), clock, &standing) => opened?,
+        opened = open_state(&config, inherited.is_some(), (clock, anchor.as_ref()), &standing) => opened?,
         () = signals.stop() => {
             end_unserved(clock, &standing, received, platform).await;
             return Ok(());
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -30,6 +30,8 @@
 pub use error::ConfigError;
 pub use limits::Limits;
 
+/// Bytes kept for the file of the clock, of which there are two while one takes the place of the other.
+const CLOCK_BYTES: u64 = 1024;
 /// The snapshot of health observations may take the disk limit divided by this.
 const SNAPSHOT_DIVISOR: u64 = 32;
 /// Beside a record in SQLite, the journal may take the disk limit divided by this.
@@ -82,11 +84,11 @@
 }
 
 impl Config {
-    /// Space for the journal, in bytes: the disk limit less what the observation snapshots, the files of the
+    /// Space for the journal, in bytes: the disk limit less what the clock's file, the observation snapshots, the files of the
     /// replicated destination set and an SQLite record take of it.
     pub fn journal_room(&self) -> Room {
         let files = distribution::files_room(self.fleet.as_ref());
-        let disk = self.limits.disk - self.snapshots_total() - files;
+        let disk = self.limits.disk - self.snapshots_total() - files - CLOCK_BYTES;
         match &self.record {
             None => Room { limit: disk, to_end: TO_END },
             Some(Recording { target: Target::Sqlite { .. }, .. }) => {
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -4,41 +4,16 @@
 
 use std::borrow::Cow;
 use std::sync::Arc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bytes::Bytes;
 use record::model::Evidence;
 use serde::{Deserialize, Serialize};
 
+pub use crate::clock::Clock;
+
 use crate::interface::{Micros, Outcome, Report, TargetId};
 use crate::wire::RawEntry;
 
-/// The relay's clock: Unix time in microseconds that never runs backwards while the process lives.
-#[derive(Clone, Copy, Debug)]
-pub struct Clock {
-    start: Instant,
-    unix: Micros,
-}
-
-impl Clock {
-    /// A clock that starts at the system's time.
-    pub fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), unix: unix.as_micros() as Micros }
-    }
-
-    /// The time now.
-    pub fn now(&self) -> Micros {
-        self.unix + self.start.elapsed().as_micros() as Micros
-    }
-
-    /// The moment at which the clock shows `at`, for a timer.
-    pub fn instant(&self, at: Micros) -> tokio::time::Instant {
-        let after = u64::try_from(at - self.unix).unwrap_or(0);
-        tokio::time::Instant::from_std(self.start + Duration::from_micros(after.min(1 << 52)))
-    }
-}
-
 /// The key by which a destination recognises the repeats of a message of a keyed class. It is passed on unchanged.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(try_from = "String", into = "String")]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -81,6 +81,7 @@
 
 pub mod as2;
 pub mod classes;
+pub mod clock;
 pub mod config;
 pub mod draw;
 pub mod estimate;
