Advise by a span until the record has room, not by two clocks

Cause: the record told the time at which it expects room by the wall clock, and the relay subtracted its own clock, so that a step made the advice too long or too short. Found by looking at each wall-clock time that crosses a module for the incident. Change: Health::room_after is a span on the monotonic clock. Measured: the tests of record and recording pass. Ruled out: the times in rows, which are for people and are compared with each other only.

--- a/crates/record/src/service.rs
+++ b/crates/record/src/service.rs
@@ -1,8 +1,8 @@
 //! The writer at work: a thread of its own with a connection, which does what the state machine says and tells
 //! what was written. Owns the thread and the connection. It must never make the relay wait.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use tokio::sync::{mpsc, watch};
@@ -53,14 +53,16 @@
 #[derive(Debug, Default)]
 pub struct Health {
     /// Unix time in microseconds at which there should be room again.
-    room_at: AtomicI64,
+    room_at: Mutex<Option<Instant>>,
     handed: AtomicU64,
 }
 
 impl Health {
-    /// When there should be room again, if there is none now; Unix time in microseconds.
-    pub fn room_at(&self) -> Micros {
-        self.room_at.load(Ordering::Relaxed)
+    /// Time until there should be room again, if there is none now, in microseconds.
+    pub fn room_after(&self) -> Micros {
+        let at = *self.room_at.lock().unwrap_or_else(PoisonError::into_inner);
+        let after = at.map_or(Duration::ZERO, |at| at.saturating_duration_since(Instant::now()));
+        Micros::try_from(after.as_micros()).unwrap_or(Micros::MAX)
     }
 }
 
@@ -192,7 +194,8 @@
 
     fn tell_health(&self) {
         let wait = self.writer.room_at(self.now()) - self.now();
-        self.to.health.room_at.store(unix_now() + wait, Ordering::Relaxed);
+        let at = Instant::now() + Duration::from_micros(u64::try_from(wait).unwrap_or(0));
+        *self.to.health.room_at.lock().unwrap_or_else(PoisonError::into_inner) = Some(at);
         self.stands(match self.writer.epoch() {
             Some(epoch) => Standing::Held(epoch),
             None => match self.writer.held_by_other() {
--- a/src/recording.rs
+++ b/src/recording.rs
@@ -72,17 +72,17 @@
     }
 
     /// Why nothing more may be taken on just now, with `waiting` bytes of entries and so many messages held.
-    pub fn refusal(&self, now: Micros, waiting: u64, held: usize) -> Option<Answer> {
+    pub fn refusal(&self, waiting: u64, held: usize) -> Option<Answer> {
         if *self.handle.standing().borrow() == Standing::Fenced {
             return Some(Answer::Refused("another process holds this relay's name".into(), None));
         }
         let full = waiting + (held as u64 + 1) * USUAL_ENTRY > self.most;
-        full.then(|| Answer::Refused("the record is behind".into(), Some(self.advice(now))))
+        full.then(|| Answer::Refused("the record is behind".into(), Some(self.advice())))
     }
 
     /// When there should be room again.
-    pub fn advice(&self, now: Micros) -> Micros {
-        let after = (self.handle.health().room_at() - now).max(LEAST_ADVICE);
+    pub fn advice(&self) -> Micros {
+        let after = self.handle.health().room_after().max(LEAST_ADVICE);
         self.most_advice.map_or(after, |most| after.min(most))
     }
 
--- a/src/runtime/intake.rs
+++ b/src/runtime/intake.rs
@@ -74,11 +74,10 @@
         let outbox = self.outbox.as_ref();
         if !self.journal.room(self.unwritten + bytes) {
             let waiting = outbox.filter(|_| self.journal.entries() > 0);
-            let advice = waiting.map(|outbox| outbox.advice(self.clock.now()));
+            let advice = waiting.map(|outbox| outbox.advice());
             return Err(Answer::Refused("no room on the disk".into(), advice));
         }
-        let refusal = outbox
-            .and_then(|outbox| outbox.refusal(self.clock.now(), self.journal.entries(), self.held.len()));
+        let refusal = outbox.and_then(|outbox| outbox.refusal(self.journal.entries(), self.held.len()));
         refusal.map_or(Ok(()), Err)
     }
 
