--- a/crates/rig/src/audit.rs
+++ b/crates/rig/src/audit.rs
@@ -104,6 +104,21 @@
     pub folder_lost: bool,
 }
 
+/// A request that was sent and got no answer.
+#[derive(Clone, Debug)]
+pub struct Unanswered {
+    /// The message.
+    pub id: String,
+    /// To which relay.
+    pub relay: usize,
+    /// When it was sent, in seconds of the play.
+    pub at_s: f64,
+    /// When its client gave up, or its connection ended.
+    pub ended_s: f64,
+    /// What the client saw.
+    pub why: String,
+}
+
 /// A span of one relay.
 #[derive(Clone, Copy, Debug, Serialize)]
 pub struct Span {
@@ -138,6 +153,10 @@
     pub turns: Vec<Span>,
     /// Processes that ended by themselves.
     pub crashes: Vec<String>,
+    /// Calls whose message, body or key no client had sent.
+    pub unknown_calls: Vec<String>,
+    /// Requests that were sent and got no answer.
+    pub unanswered: Vec<Unanswered>,
     /// Clients that wait to hear of a message.
     waiters: HashMap<String, oneshot::Sender<Option<u64>>>,
     open: HashMap<String, u32>,
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -126,6 +126,8 @@
     program: PathBuf,
     folder: PathBuf,
     environment: Vec<(String, String)>,
+    /// Variables of the next start alone.
+    once: Vec<(String, String)>,
     child: Option<Child>,
     /// It has said that it is ready.
     pub ready: watch::Receiver<bool>,
@@ -143,7 +145,12 @@
         fs::write(folder.join("config.json"), configuration.to_string())?;
         let ready = watch::channel(false).1;
         let (program, environment) = (program.into(), environment.to_vec());
-        Ok(Process { program, folder, environment, child: None, ready })
+        Ok(Process { program, folder, environment, once: Vec::new(), child: None, ready })
+    }
+
+    /// Sets variables for the next start alone.
+    pub fn set_environment(&mut self, variables: Vec<(String, String)>) {
+        self.once = variables;
     }
 
     /// Starts it; `ready` tells when it is.
@@ -154,6 +161,7 @@
         let mut command = Command::new(&self.program);
         command
             .envs(self.environment.iter().cloned())
+            .envs(std::mem::take(&mut self.once))
             .env("PROXY_CONFIG", self.folder.join("config.json"))
             .env("PROXY_STATE", self.folder.join("state"))
             .env("TULIPFALL_CONTROL", self.folder.join("control"))
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -24,4 +24,5 @@
 pub mod report;
 pub mod resources;
 pub mod scenario;
+pub mod soak;
 pub mod stage;
--- a/crates/rig/src/load.rs
+++ b/crates/rig/src/load.rs
@@ -13,7 +13,7 @@
 use rand_distr::{Distribution, Exp};
 use tokio::task::JoinSet;
 
-use crate::audit::{AGAIN, Book, Sent};
+use crate::audit::{AGAIN, Book, Sent, Unanswered};
 use crate::clock::Clock;
 use crate::fleet::Net;
 use crate::front::Front;
@@ -27,6 +27,16 @@
 /// One that comes again as it is told does so at the most so many times.
 const MOST_AGAIN: usize = 3;
 
+/// The body of a message, which no other has.
+pub fn body(id: &str) -> Bytes {
+    Bytes::from(format!("{id:.<200}"))
+}
+
+/// The idempotency key of a message, which no other has.
+pub fn key(id: &str) -> String {
+    format!("key of {id}")
+}
+
 /// How much later than intended messages left, in milliseconds.
 #[derive(Clone, Debug, Default)]
 pub struct Lag(Vec<u64>);
@@ -167,9 +177,22 @@
                 .header("X-Account", "desk")
                 .header("X-Time-Left", format!("{left_ms}m"))
                 .header("X-Addressing", format!("dest={}", intended.partner))
-                .body(Full::new(Bytes::from_static(&[b'x'; 200])));
+                .header("Idempotency-Key", key(&id))
+                .body(Full::new(body(&id)));
             let request = request.ok()?;
             let answer = tokio::time::timeout(ANSWER_WITHIN, caller.request(request)).await;
+            let unanswered = match &answer {
+                Ok(Ok(_)) => None,
+                Ok(Err(error)) if error.is_connect() => None,
+                Ok(Err(error)) => Some(format!("{error:?}")),
+                Err(_) => Some("no answer in time".into()),
+            };
+            if let Some(why) = unanswered {
+                let ended_s = clock.now_s();
+                book.with(|log| {
+                    log.unanswered.push(Unanswered { id: id.clone(), relay, at_s, ended_s, why })
+                });
+            }
             if let Ok(Ok(answer)) = answer {
                 let status = answer.status().as_u16();
                 book.with(|log| {
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,6 +1,7 @@
 //! The command line of the rig.
 
 mod anchor_command;
+mod soak_command;
 
 use std::io::Write;
 use std::path::{Path, PathBuf};
@@ -54,6 +55,8 @@
         #[arg(long)]
         json: bool,
     },
+    /// Runs relays under faults of system calls, disk and clock, by seeds, and judges them from outside
+    Soak(soak_command::SoakArgs),
     /// Names the scenarios of a folder and what each shows
     List {
         /// The folder
@@ -134,6 +137,7 @@
 
 fn run(command: Command) -> Result<u8> {
     match command {
+        Command::Soak(args) => soak_command::run(&args),
         Command::Play { file, seed, relays, program, environment, older, older_relays, folder, json } => {
             let older = older.map(|older| (older, older_relays));
             let build = Build { older, ..Build::of(program, environment) };
--- a/crates/rig/src/partner.rs
+++ b/crates/rig/src/partner.rs
@@ -14,6 +14,7 @@
 use crate::clock::Clock;
 use crate::fleet::Net;
 use crate::http;
+use crate::load;
 use crate::scenario::{Partners, Scenario, What};
 
 /// A destination that returns cold has this part of its capacity.
@@ -155,10 +156,12 @@
             let (terms, partner, book) = (terms.clone(), partner.clone(), book.clone());
             async move {
                 let id = http::header(&request, "X-Correlation-Id").to_string();
-                if http::body(request).await.is_none() || id.is_empty() {
+                let key = http::header(&request, "Idempotency-Key").to_string();
+                let Some(body) = http::body(request).await.filter(|_| !id.is_empty()) else {
                     return http::answer(400, "");
-                }
+                };
                 let at_s = clock.now_s();
+                note_unknown(&book, &id, number, (&key, &body), at_s);
                 let trouble = trouble(&scenario, at_s, number, relay);
                 let (verdict, work_ms, noise) = {
                     let mut terms = terms.lock().unwrap_or_else(PoisonError::into_inner);
@@ -198,6 +201,16 @@
     Ok(())
 }
 
+/// Notes a call whose message, body or key is not as a client sent it.
+fn note_unknown(book: &Book, id: &str, partner: usize, (key, body): (&str, &[u8]), at_s: f64) {
+    book.with(|log| {
+        let sent = log.sent.get(id).is_some_and(|sent| sent.partner == partner);
+        if !sent || key != load::key(id) || body != load::body(id) {
+            log.unknown_calls.push(format!("{id:?} at partner {partner}, {at_s:.3} s, with key {key:?}"));
+        }
+    });
+}
+
 fn value(text: &str) -> hyper::header::HeaderValue {
     hyper::header::HeaderValue::from_str(text).unwrap_or(hyper::header::HeaderValue::from_static(""))
 }
--- a/crates/rig/src/play.rs
+++ b/crates/rig/src/play.rs
@@ -26,7 +26,7 @@
 /// After the last message's time is up, what is owed may still come for so long.
 const AFTER: Duration = Duration::from_millis(1800);
 /// A play in which one message in a hundred left later than this did not keep up.
-const LAG_MS: u64 = 50;
+pub(crate) const LAG_MS: u64 = 50;
 /// A relay answers an order within this.
 const ANSWERS: Duration = Duration::from_millis(1000);
 /// A process that was told to end is given so long before it is killed.
