Let a control machine wait for its disk, and share what tells transient errors apart

Cause: daemon::run ended with the first failed write or sync of its log and with the first failed bind or open of its start.

Change: LogFile writes the whole file anew after any failed write, as nobody knows which bytes a failed sync left; the machine sends nothing meanwhile and is to the others as one that is down. Its start waits for sockets and files. SIGTERM ends it in both. Which errors may pass, the back-off and its log lines are the crate transient now, used by the relay and the control machine.

Ruled out: going on after a failed sync by syncing again, which may succeed without the bytes.

--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -6,6 +6,8 @@
 use clap::Parser;
 use control::shell::config::{Config, read_signing_key};
 use control::shell::daemon;
+use tokio::runtime::Builder;
+use transient::until_works_blocking;
 
 /// A control machine of tulipfall: agrees with the others on the changes of the destination set, and publishes them.
 #[derive(Parser)]
@@ -36,8 +38,8 @@
         println!("{}", hex::encode(read_signing_key(file)?.verifying_key().to_bytes()));
     }
     let Some(file) = &cli.config else { return Ok(()) };
-    let config = Config::read(file)?;
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let config = until_works_blocking("configuration", || Config::read(file))?;
+    let runtime = until_works_blocking("event loop", || Builder::new_current_thread().enable_all().build())?;
     runtime.block_on(daemon::run(config))?;
     Ok(())
 }
--- a/crates/control/src/shell/config.rs
+++ b/crates/control/src/shell/config.rs
@@ -35,6 +35,7 @@
 use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::time::Duration;
 
 use consensus::{Micros, NodeId};
 use destinations::SigningKey;
@@ -43,6 +44,7 @@
 use rollout::layout::{Layout, LayoutError};
 use rollout::topology::Topology;
 use thiserror::Error;
+use transient::MayPass;
 
 use crate::shell::config_file::{ControlTable, File, LinkKeyTable, PeersTable, ZoneTable};
 
@@ -111,6 +113,15 @@
     },
 }
 
+impl MayPass for ConfigError {
+    fn may_pass(&self, elapsed: Duration) -> bool {
+        match self {
+            ConfigError::Read { source, .. } => source.may_pass(elapsed),
+            ConfigError::Key { .. } => false,
+        }
+    }
+}
+
 impl Config {
     /// Reads the file, and the keys that it names relative to itself.
     ///
--- a/crates/control/src/shell/daemon.rs
+++ b/crates/control/src/shell/daemon.rs
@@ -12,6 +12,7 @@
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::sleep_until;
+use transient::{Retries, until_works};
 
 use crate::machine::{Compaction, Machine, MachineError, Submission, SubmitError};
 use crate::outcome::Outcome;
@@ -82,16 +83,26 @@
 pub async fn run(config: Config) -> Result<(), DaemonError> {
     let (incoming_sender, mut incoming) = mpsc::channel(MAX_INCOMING);
     let (request_sender, mut requests) = mpsc::channel(MAX_REQUESTS);
-    let consensus = bind(config.me.consensus).await?;
-    let admin = bind(config.me.admin).await?;
-    let mut daemon = Daemon::start(config).await?;
+    let mut stop = stop_signal()?;
+    let started = async {
+        let consensus = bind(config.me.consensus).await?;
+        let admin = bind(config.me.admin).await?;
+        Ok::<_, DaemonError>((consensus, admin, Daemon::start(config).await?))
+    };
+    let (consensus, admin, mut daemon) = tokio::select! {
+        started = started => started?,
+        _ = stop.recv() => return Ok(()),
+    };
     let (key, me) = (daemon.frame_key.clone(), daemon.config.consensus.id);
     tokio::spawn(consensus_link::listen(consensus, key, me, incoming_sender));
     tokio::spawn(admin::listen(admin, request_sender));
-    let mut stop = stop_signal()?;
     let mut datagram = vec![0; MAX_DATAGRAM_BYTES];
     loop {
-        daemon.drive().await?;
+        tokio::select! {
+            driven = daemon.drive() => driven?,
+            // Also while the disk fails.
+            _ = stop.recv() => return Ok(()),
+        }
         tokio::select! {
             message = incoming.recv() => {
                 message.into_iter().for_each(|message| daemon.receive(message));
@@ -112,7 +123,9 @@
 }
 
 async fn bind(address: std::net::SocketAddr) -> Result<TcpListener, DaemonError> {
-    TcpListener::bind(address).await.map_err(|error| DaemonError::Socket(address, error))
+    until_works("listen", async || TcpListener::bind(address).await)
+        .await
+        .map_err(|error| DaemonError::Socket(address, error))
 }
 
 fn stop_signal() -> Result<tokio::signal::unix::Signal, DaemonError> {
@@ -125,11 +138,12 @@
         let clock = Clock::start();
         let now = clock.now_us();
         let keys = ControlKeys::new(&[config.cluster_key.verifying_key().to_bytes()])?;
-        let (disk, persisted) = LogFile::open(&config.data)?;
+        let (disk, persisted) = until_works("consensus log", async || LogFile::open(&config.data)).await?;
         let key = config.cluster_key.clone();
         let machine = Machine::new(config.consensus.clone(), persisted, key, Compaction::default())?;
         let address = config.me.link;
-        let notes = UdpSocket::bind(address).await.map_err(|error| DaemonError::Socket(address, error))?;
+        let notes = until_works("notes", async || UdpSocket::bind(address).await).await;
+        let notes = notes.map_err(|error| DaemonError::Socket(address, error))?;
         let others = config.controls.iter().filter(|(id, _)| **id != config.consensus.id);
         let senders = others.map(|(id, other)| (*id, Sender::spawn(other.consensus)));
         Ok(Daemon {
@@ -156,7 +170,7 @@
             if self.machine.next_at(now) > now {
                 break;
             }
-            self.poll_machine(now)?;
+            self.poll_machine(now).await?;
         }
         let now = self.clock.now_us();
         for disagreement in self.rollout.take_disagreements() {
@@ -171,9 +185,9 @@
         Ok(())
     }
 
-    fn poll_machine(&mut self, now: Micros) -> Result<(), DaemonError> {
+    async fn poll_machine(&mut self, now: Micros) -> Result<(), DaemonError> {
         let work = self.machine.poll(now)?;
-        self.disk.write(&work.persist, self.machine.consensus().persisted())?;
+        self.persist(&work.persist).await?;
         work.messages.iter().for_each(|(to, message)| self.send(*to, message));
         if let Some(restored) = work.restored {
             self.rollout = rollout_node(&self.config, &self.keys, restored.set, restored.newest, now);
@@ -195,6 +209,18 @@
         Ok(())
     }
 
+    /// Writes records, however long the disk fails: a machine that sends nothing meanwhile is to the others as one that is
+    /// down, and breaks no promise.
+    async fn persist(&mut self, records: &[consensus::Record]) -> Result<(), DiskError> {
+        let mut retries = Retries::default();
+        while let Err(error) = self.disk.write(records, self.machine.consensus().persisted()) {
+            let Some(interval) = retries.after("consensus log", &error) else { return Err(error) };
+            tokio::time::sleep(interval).await;
+        }
+        retries.worked("consensus log");
+        Ok(())
+    }
+
     fn send(&self, to: NodeId, message: &[u8]) {
         let frame = self.frame_key.seal(self.config.consensus.id, to, message);
         if let Some(sender) = self.senders.get(&to) {
--- a/crates/control/src/shell/disk.rs
+++ b/crates/control/src/shell/disk.rs
@@ -13,9 +13,11 @@
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 use consensus::{Persisted, Record, RecordError};
 use thiserror::Error;
+use transient::MayPass;
 
 /// The file of records.
 const LOG: &str = "consensus.log";
@@ -58,11 +60,22 @@
     },
 }
 
+impl MayPass for DiskError {
+    fn may_pass(&self, elapsed: Duration) -> bool {
+        match self {
+            DiskError::Io { source, .. } => source.may_pass(elapsed),
+            DiskError::InUse(_) | DiskError::Damaged { .. } | DiskError::Records { .. } => false,
+        }
+    }
+}
+
 /// The open file of records.
 #[derive(Debug)]
 pub struct LogFile {
     directory: PathBuf,
     file: File,
+    /// The last write failed: a part of it may be in the file, or on its way to the disk.
+    uncertain: bool,
     _lock: File,
 }
 
@@ -85,21 +98,31 @@
         }
         let persisted =
             Persisted::from_records(records).map_err(|source| DiskError::Records { path, source })?;
-        Ok((LogFile { directory: directory.to_owned(), file, _lock: lock }, persisted))
+        Ok((LogFile { directory: directory.to_owned(), file, uncertain: false, _lock: lock }, persisted))
     }
 
     /// Writes records so that they are on the disk when it returns. `persisted` is the state with them.
     ///
     /// # Errors
-    /// They may not be on the disk; the process must not go on.
+    /// They may not be on the disk; nothing may be sent that rests on them. Trying again writes the whole file anew, as after
+    /// a failed sync nobody knows which bytes are on the disk.
     pub fn write(&mut self, records: &[Record], persisted: &Persisted) -> Result<(), DiskError> {
-        if records.is_empty() {
+        if records.is_empty() && !self.uncertain {
             return Ok(());
         }
         let replaces = |record: &Record| matches!(record, Record::Snapshot(_) | Record::Installed(_));
-        if records.iter().any(replaces) {
-            return self.rewrite(&persisted.records());
+        let anew = self.uncertain || records.iter().any(replaces);
+        self.uncertain = true;
+        if anew {
+            self.rewrite(&persisted.records())?;
+        } else {
+            self.append(records)?;
         }
+        self.uncertain = false;
+        Ok(())
+    }
+
+    fn append(&mut self, records: &[Record]) -> Result<(), DiskError> {
         let path = self.directory.join(LOG);
         let written = self.file.write_all(&encode(records));
         written.and_then(|()| self.file.sync_data()).map_err(at(&path))
--- a/crates/control/tests/processes/cluster.rs
+++ b/crates/control/tests/processes/cluster.rs
@@ -3,12 +3,13 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpStream};
-use std::process::{Child, Command, Stdio};
+use std::process::{Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
 use control::shell::admin::{Reply, Request, Status};
 use destinations::{SigningKey, Version};
+use faults::{Child, Scenario};
 use tempfile::TempDir;
 
 /// Control machines of a cluster.
@@ -28,7 +29,7 @@
 static CLUSTERS: AtomicU8 = AtomicU8::new(1);
 
 /// A process that the test started; it ends with the test.
-struct Process(Child);
+struct Process(std::process::Child);
 
 impl Drop for Process {
     fn drop(&mut self) {
@@ -44,16 +45,23 @@
     processes: BTreeMap<u64, Process>,
     frozen: Option<u64>,
     deadline: Instant,
+    /// What fails in each process.
+    faults: Scenario,
 }
 
 impl Cluster {
     /// Writes the files and starts all machines.
     pub fn start(deadline: Instant) -> Self {
+        Self::start_with(Scenario::default(), deadline)
+    }
+
+    /// The same, with faults of system calls in each process.
+    pub fn start_with(faults: Scenario, deadline: Instant) -> Self {
         let directory = tempfile::tempdir().expect("a directory");
         let pid = std::process::id().to_be_bytes();
         let ip = Ipv4Addr::new(127, 1 + pid[2] % 200, pid[3], CLUSTERS.fetch_add(1, Ordering::Relaxed));
         let mut cluster =
-            Cluster { directory, ip: ip.into(), processes: BTreeMap::new(), frozen: None, deadline };
+            Cluster { directory, ip: ip.into(), processes: BTreeMap::new(), frozen: None, deadline, faults };
         cluster.write("cluster.key", &hex::encode(CLUSTER_KEY));
         std::fs::write(cluster.directory.path().join("link.key"), LINK_KEY)
             .expect("a file in an own directory");
@@ -68,10 +76,25 @@
     pub fn launch(&mut self, id: u64) {
         let file = self.directory.path().join(format!("{id}.toml"));
         let mut command = Command::new(env!("CARGO_BIN_EXE_tulipfall-control"));
+        let (scope, log) =
+            (self.directory.path().join(format!("data-{id}")), self.directory.path().join("faults.log"));
+        let faults = self.faults.environment(Child { seed: id, scope: &scope, log: &log });
+        command.envs(faults.expect("the shim is built"));
         let child = command.arg(file).stdin(Stdio::null()).stderr(Stdio::null()).spawn();
         self.processes.insert(id, Process(child.expect("the program starts")));
     }
 
+    /// Number of faults that were made.
+    pub fn faults_made(&self) -> usize {
+        let log = std::fs::read_to_string(self.directory.path().join("faults.log"));
+        log.map_or(0, |log| log.lines().count())
+    }
+
+    /// Whether all machines run.
+    pub fn all_run(&mut self) -> bool {
+        self.processes.values_mut().all(|process| matches!(process.0.try_wait(), Ok(None)))
+    }
+
     /// Kills one machine with SIGKILL.
     pub fn kill(&mut self, id: u64) {
         self.processes.remove(&id);
--- a/crates/control/tests/processes/main.rs
+++ b/crates/control/tests/processes/main.rs
@@ -62,6 +62,36 @@
     relay.wait_for_confirmation(cluster.deadline());
 }
 
+#[test]
+fn control_machines_outlive_disks_that_fail_and_agree_afterwards() {
+    let fault = |call: &str, effect: &str, error: &str, [from_ms, to_ms]: [u64; 2]| {
+        format!(
+            "[[fault]]\ncall = \"{call}\"\neffect = \"{effect}\"\nerror = \"{error}\"\nprobability = 0.5\n\
+             from_ms = {from_ms}\nto_ms = {to_ms}\n"
+        )
+    };
+    let text = fault("create", "error", "ENOSPC", [0, 400])
+        + &fault("read", "error", "EIO", [0, 400])
+        + &fault("bind", "error", "ENOBUFS", [0, 400])
+        + &fault("write", "torn", "ENOSPC", [800, 4000])
+        + &fault("sync", "error", "EIO", [800, 4000])
+        + &fault("rename", "error", "EIO", [800, 4000]);
+    let scenario = faults::Scenario::read(&text).expect("a scenario");
+    let mut cluster = Cluster::start_with(scenario, Instant::now() + 2 * PATIENCE);
+    for number in 1..=5 {
+        assert_eq!(cluster.publish(put(number, 80)), version(number as u64));
+    }
+    let digest = cluster.wait_for_all(version(5));
+    assert!(cluster.all_run(), "a machine ended");
+    assert!(cluster.faults_made() > 0, "no fault was made");
+    for id in 1..=MACHINES {
+        cluster.kill(id);
+        cluster.launch(id);
+    }
+    assert_eq!(cluster.publish(put(6, 80)), version(6));
+    assert_ne!(cluster.wait_for_all(version(6)), digest);
+}
+
 #[test]
 fn an_operator_hears_why_a_proposal_is_refused_and_where_the_leader_is() {
     let mut cluster = Cluster::start(Instant::now() + PATIENCE);
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -1,37 +1,13 @@
-//! Trying again while the cause of an error may pass by itself.
+//! Trying again while the cause of an error may pass by itself, in sight of operators.
 
 use std::fmt::Display;
-use std::io::ErrorKind;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use tracing::{info, warn};
+pub use transient::{MayPass, Retries, until_works_blocking};
+use transient::{Persistence, until_works_watched};
 
 use crate::standing::Standing;
-use crate::store::{Persistence, StoreError, persistence};
-
-/// Interval before the first retry.
-const FIRST_INTERVAL: Duration = Duration::from_millis(5);
-/// Longest interval between retries.
-const MAX_INTERVAL: Duration = Duration::from_millis(250);
-/// Shortest time between two log lines about one cause.
-const LOG_INTERVAL: Duration = Duration::from_secs(1);
-/// Time for which an address may be in use, as by a process that is about to end.
-const ADDRESS_IN_USE: Duration = Duration::from_secs(3);
-
-/// An error of which is known whether trying again may help.
-pub trait MayPass {
-    /// Whether trying again may help, after so long.
-    fn may_pass(&self, elapsed: Duration) -> bool;
-}
-
-impl MayPass for std::io::Error {
-    fn may_pass(&self, elapsed: Duration) -> bool {
-        match self.kind() {
-            ErrorKind::AddrInUse => elapsed < ADDRESS_IN_USE,
-            _ => persistence(self) == Persistence::Transient,
-        }
-    }
-}
+use crate::store::StoreError;
 
 impl MayPass for StoreError {
     fn may_pass(&self, elapsed: Duration) -> bool {
@@ -42,89 +18,16 @@
     }
 }
 
-/// The retries of one thing.
-#[derive(Debug)]
-pub struct Retries {
-    began: Instant,
-    interval: Duration,
-    failures: u32,
-    logged: Option<Instant>,
-}
-
-impl Default for Retries {
-    fn default() -> Self {
-        Retries { began: Instant::now(), interval: FIRST_INTERVAL, failures: 0, logged: None }
-    }
-}
-
-impl Retries {
-    /// How long to wait before the next try; none where trying again does not help. Logged once a second at most.
-    pub fn after(&mut self, what: &str, error: &(impl MayPass + Display)) -> Option<Duration> {
-        if !error.may_pass(self.began.elapsed()) {
-            return None;
-        }
-        self.failures += 1;
-        if self.logged.is_none_or(|at| at.elapsed() >= LOG_INTERVAL) {
-            self.logged = Some(Instant::now());
-            warn!(failures = self.failures, "{what}: {error}; tried again");
-        }
-        let interval = self.interval;
-        self.interval = (interval * 2).min(MAX_INTERVAL);
-        Some(interval)
-    }
-
-    /// Logs that it works, if it did not before.
-    pub fn worked(&self, what: &str) {
-        if self.failures > 0 {
-            info!(failures = self.failures, "{what}: works now");
-        }
-    }
-}
-
 /// Tries something until it works, while the cause of its errors may pass. `standing` shows operators what is waited for.
 ///
 /// # Errors
 /// The first error that does not pass by itself.
 pub async fn until_works<T, E: MayPass + Display>(
-    what: &str, standing: &Standing, mut attempt: impl AsyncFnMut() -> Result<T, E>,
+    what: &str, standing: &Standing, attempt: impl AsyncFnMut() -> Result<T, E>,
 ) -> Result<T, E> {
-    let mut retries = Retries::default();
-    loop {
-        match attempt().await {
-            Ok(result) => {
-                retries.worked(what);
-                if retries.failures > 0 {
-                    standing.waits_for("");
-                }
-                return Ok(result);
-            }
-            Err(error) => {
-                let Some(interval) = retries.after(what, &error) else { return Err(error) };
-                standing.waits_for(&format!("{what}: {error}"));
-                tokio::time::sleep(interval).await;
-            }
-        }
-    }
-}
-
-/// The same on the calling thread, for what has to be there before there is an event loop.
-///
-/// # Errors
-/// The first error that does not pass by itself.
-pub fn until_works_blocking<T, E: MayPass + Display>(
-    what: &str, mut attempt: impl FnMut() -> Result<T, E>,
-) -> Result<T, E> {
-    let mut retries = Retries::default();
-    loop {
-        match attempt() {
-            Ok(result) => {
-                retries.worked(what);
-                return Ok(result);
-            }
-            Err(error) => match retries.after(what, &error) {
-                Some(interval) => std::thread::sleep(interval),
-                None => return Err(error),
-            },
-        }
-    }
+    let waits = |error: Option<&E>| match error {
+        Some(error) => standing.waits_for(&format!("{what}: {error}")),
+        None => standing.waits_for(""),
+    };
+    until_works_watched(what, attempt, waits).await
 }
--- a/src/runtime/outage.rs
+++ b/src/runtime/outage.rs
@@ -7,10 +7,11 @@
 use tracing::{info, warn};
 
 use record::model::{Entry, Evidence};
+use transient::Persistence;
 
 use crate::exchange::{Answer, CallEnd, OutboundCall};
 use crate::interface::*;
-use crate::store::{Persistence, Record, StoreError};
+use crate::store::{Record, StoreError};
 
 use super::Runtime;
 use super::effects::{Effect, Reply};
--- a/src/store/error.rs
+++ b/src/store/error.rs
@@ -1,6 +1,6 @@
 //! What a store cannot do, and whether trying again may help.
 
-use nix::errno::Errno;
+use transient::{Persistence, persistence};
 
 /// What a store cannot do.
 #[derive(Debug, thiserror::Error)]
@@ -32,41 +32,6 @@
     },
 }
 
-/// Whether trying again may help.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Persistence {
-    /// The cause may pass by itself.
-    Transient,
-    /// Somebody has to do something about it.
-    Permanent,
-}
-
-/// Whether an error of a system call may pass by itself: the machine is short of something, a device fails, or a call was
-/// interrupted.
-pub fn persistence(error: &std::io::Error) -> Persistence {
-    let Some(number) = error.raw_os_error() else { return Persistence::Permanent };
-    match Errno::from_raw(number) {
-        Errno::EINTR
-        | Errno::EAGAIN
-        | Errno::EIO
-        | Errno::ENOMEM
-        | Errno::EBUSY
-        | Errno::ENFILE
-        | Errno::EMFILE
-        | Errno::ENOSPC
-        | Errno::EDQUOT
-        | Errno::ENOLCK
-        | Errno::ENOBUFS
-        | Errno::EADDRNOTAVAIL
-        | Errno::EADDRINUSE
-        | Errno::ENETDOWN
-        | Errno::ENETUNREACH
-        | Errno::ETIMEDOUT
-        | Errno::ESTALE => Persistence::Transient,
-        _ => Persistence::Permanent,
-    }
-}
-
 impl StoreError {
     /// Whether trying again may help.
     pub fn persistence(&self) -> Persistence {
--- a/src/store/mod.rs
+++ b/src/store/mod.rs
@@ -19,7 +19,7 @@
 use crate::interface::{Class, Micros};
 
 pub use self::bytes::{decode, encode};
-pub use error::{Persistence, StoreError, persistence};
+pub use error::StoreError;
 pub use journal::{Journal, Mark, Room, TO_END, TO_END_RECORDED, mark};
 pub use owner::{Owner, own};
 pub use storage::{Folder, Storage};
