Read the configuration again while it cannot be read for a moment

What callers would see: a process that exits with 1 at its start, or a reload that is lost, when reading the file fails with EIO or for want of a descriptor. Found by looking at each error on I/O for the class of the incident. Cause: Config::load and load_file were called once, and an unreadable file was an error by its text alone. Change: ConfigError::Unreadable keeps the I/O error; a start waits, a reload is tried again by a timer while the relay serves. Bad content is refused at once, as before. Measured: start_waits_while_its_configuration_cannot_be_read and a_reload_is_tried_again_while_the_configuration_cannot_be_read fail before (exit 1; no reload within 30 s) and pass now. Ruled out: reading in a loop within the reload, which would hold up calls.

--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -28,7 +28,7 @@
 use tulipfall::net::outbound::Outbound;
 use tulipfall::net::{Protocol, discovery, door};
 use tulipfall::recording::{self, Outbox};
-use tulipfall::retry::until_works;
+use tulipfall::retry::{Retries, until_works, until_works_blocking};
 use tulipfall::rules::Relay;
 use tulipfall::runtime::{End, Runtime};
 use tulipfall::standing::{Phase, Standing};
@@ -52,7 +52,7 @@
 
 /// Runs a relay until it is stopped. `load` reads the configuration, and is told whether it does so again.
 pub fn start(load: impl Fn(bool) -> Result<Config, ConfigError>) -> Result<(), Failure> {
-    let config = load(false)?;
+    let config = until_works_blocking("configuration", || load(false))?;
     event_loop()?.block_on(run(config, load))
 }
 
@@ -102,6 +102,33 @@
     }
 }
 
+/// The tries of one reload: a file that cannot be read for a moment is read again, while the relay serves.
+#[derive(Default)]
+struct Reread {
+    retries: Retries,
+    again_at: Option<tokio::time::Instant>,
+}
+
+impl Reread {
+    /// Waits until the file is to be read again; for ever where it is not.
+    async fn due(&self) {
+        match self.again_at {
+            Some(at) => tokio::time::sleep_until(at).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Reads once; none where that is tried again later.
+    fn read(
+        &mut self, load: impl FnOnce() -> Result<Config, ConfigError>,
+    ) -> Option<Result<Config, ConfigError>> {
+        let read = load();
+        let interval = read.as_ref().err().and_then(|error| self.retries.after("configuration", error));
+        self.again_at = interval.map(|interval| tokio::time::Instant::now() + interval);
+        interval.is_none().then_some(read)
+    }
+}
+
 async fn run(mut config: Config, load: impl Fn(bool) -> Result<Config, ConfigError>) -> Result<(), Failure> {
     // Before all else: a signal that finds no handler ends the process.
     let mut signals = StopSignals::install()?;
@@ -308,10 +335,15 @@
     let mut reloads = Reload { last: None, start: config, to: [ask, tell], relays, inputs: again };
     let served = runtime.run(received);
     tokio::pin!(served);
+    let mut again = Reread::default();
     let end = loop {
         tokio::select! {
             end = &mut served => break end?,
-            Some(()) = hangup.recv() => reloads.take(load(true)),
+            Some(()) = hangup.recv() => again = Reread::default(),
+            () = again.due() => {}
+        }
+        if let Some(read) = again.read(|| load(true)) {
+            reloads.take(read);
         }
     };
     if let End::HandedOver(left, inputs) = end {
--- a/src/config/error.rs
+++ b/src/config/error.rs
@@ -1,5 +1,9 @@
 //! Errors of the configuration.
 
+use std::time::Duration;
+
+use crate::retry::MayPass;
+
 /// A configuration that cannot be used.
 #[derive(Debug, thiserror::Error)]
 pub enum ConfigError {
@@ -11,6 +15,14 @@
         /// The cause.
         why: String,
     },
+    /// A file that the configuration names, or its own, cannot be read.
+    #[error("{file}: {error}")]
+    Unreadable {
+        /// Path of the file, after the key that names it, if one does.
+        file: String,
+        /// The cause.
+        error: std::io::Error,
+    },
     /// A key is missing or invalid.
     #[error("{key}: {why}")]
     Key {
@@ -21,6 +33,15 @@
     },
 }
 
+impl MayPass for ConfigError {
+    fn may_pass(&self, elapsed: Duration) -> bool {
+        match self {
+            ConfigError::Unreadable { error, .. } => error.may_pass(elapsed),
+            ConfigError::File { .. } | ConfigError::Key { .. } => false,
+        }
+    }
+}
+
 /// An error at a key.
 pub(super) fn bad(key: &str, why: impl Into<String>) -> ConfigError {
     ConfigError::Key { key: key.into(), why: why.into() }
--- a/src/config/operator/as2.rs
+++ b/src/config/operator/as2.rs
@@ -37,7 +37,7 @@
     /// The content of the file that a key names.
     fn file(&self, table: &Table, key: &'static str) -> Result<Vec<u8>, ConfigError> {
         let path = self.folder.join(table.text(key)?);
-        std::fs::read(&path).map_err(|error| table.bad(key, format!("{}: {error}", path.display())))
+        std::fs::read(&path).map_err(|error| table.unreadable(key, &path, error))
     }
 
     /// The certificate that the key `certificate` names.
--- a/src/config/operator/fleet.rs
+++ b/src/config/operator/fleet.rs
@@ -73,8 +73,7 @@
 fn read_key(table: &Table, folder: &Path) -> Result<Key, ConfigError> {
     let id = table.number("id", 1.0, None)?;
     let path = folder.join(table.text("file")?);
-    let bytes =
-        std::fs::read(&path).map_err(|error| table.bad("file", format!("{}: {error}", path.display())))?;
+    let bytes = std::fs::read(&path).map_err(|error| table.unreadable("file", &path, error))?;
     if id > MAX_KEY_ID || bytes.len() < MIN_KEY_LENGTH {
         let why = format!("{}: expected {MIN_KEY_LENGTH} bytes or more, and an id up to 255", path.display());
         return Err(table.bad("file", why));
--- a/src/config/operator/mod.rs
+++ b/src/config/operator/mod.rs
@@ -84,7 +84,8 @@
 fn parse_file(file: &Path) -> Result<Value, ConfigError> {
     let unreadable =
         |why: String| ConfigError::File { file: file.display().to_string(), why: why.trim().to_string() };
-    let text = std::fs::read_to_string(file).map_err(|error| unreadable(error.to_string()))?;
+    let text = std::fs::read_to_string(file)
+        .map_err(|error| ConfigError::Unreadable { file: file.display().to_string(), error })?;
     let value: toml::Value = toml::from_str(&text).map_err(|error| unreadable(error.to_string()))?;
     serde_json::to_value(value).map_err(|error| unreadable(error.to_string()))
 }
--- a/src/config/operator/record.rs
+++ b/src/config/operator/record.rs
@@ -113,8 +113,8 @@
 }
 
 fn read_password(table: &Table, file: &Path) -> Result<String, ConfigError> {
-    let text = std::fs::read_to_string(file)
-        .map_err(|error| table.bad("password_file", format!("{}: {error}", file.display())))?;
+    let text =
+        std::fs::read_to_string(file).map_err(|error| table.unreadable("password_file", file, error))?;
     Ok(text.trim_end_matches(['\r', '\n']).to_string())
 }
 
--- a/src/config/operator/table.rs
+++ b/src/config/operator/table.rs
@@ -3,6 +3,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::path::Path;
 
 use serde_json::Value;
 
@@ -35,6 +36,11 @@
         if self.path.is_empty() { key.into() } else { format!("{}.{key}", self.path) }
     }
 
+    /// A file that a key of this table names cannot be read.
+    pub(in crate::config) fn unreadable(&self, key: &str, file: &Path, error: std::io::Error) -> ConfigError {
+        ConfigError::Unreadable { file: format!("{}: {}", self.path_of(key), file.display()), error }
+    }
+
     /// An error at a key of this table.
     pub(in crate::config) fn bad(&self, key: &str, why: impl Into<String>) -> ConfigError {
         bad(&self.path_of(key), why)
--- a/src/config/platform.rs
+++ b/src/config/platform.rs
@@ -23,7 +23,7 @@
     pub fn load(environment: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
         let file = environment("PROXY_CONFIG").ok_or_else(|| bad("PROXY_CONFIG", "is not set"))?;
         let text = std::fs::read_to_string(&file)
-            .map_err(|error| ConfigError::File { file: file.clone(), why: error.to_string() })?;
+            .map_err(|error| ConfigError::Unreadable { file: file.clone(), error })?;
         let value = serde_json::from_str(&text)
             .map_err(|error| ConfigError::File { file, why: error.to_string() })?;
         Self::read(&value, environment)
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -89,9 +89,14 @@
 
     /// Starts it with these faults, and does not wait.
     fn launch(&self, scenario: &str, seed: u64) -> Program {
+        self.launch_with(scenario, seed, &self.state())
+    }
+
+    /// The same, with faults of files in another folder.
+    fn launch_with(&self, scenario: &str, seed: u64, scope: &Path) -> Program {
         let scenario = Scenario::read(scenario).expect("a scenario");
         let (state, log) = (self.state(), self.folder.join("faults.log"));
-        let child = Child { seed, scope: &state, log: &log };
+        let child = Child { seed, scope, log: &log };
         let faults = scenario.environment(child).expect("the shim is built");
         let (file, state) = (self.folder.join("config.json"), state.display().to_string());
         let file = file.display().to_string();
@@ -253,6 +258,31 @@
     all_delivered(&endpoint, &seen);
 }
 
+#[test]
+fn start_waits_while_its_configuration_cannot_be_read() {
+    let endpoint = Endpoint::start();
+    let relay = Relay::new("faults-configuration", &endpoint);
+    let faults = fault("open", "EMFILE", 1.0, 0, 400) + &fault("read", "EIO", 1.0, 0, 700);
+    let mut program = relay.launch_with(&faults, 1, &relay.folder);
+    program.wait_ready(1);
+    assert!(relay.faults_made() > 0, "no fault was made");
+}
+
+#[test]
+fn a_reload_is_tried_again_while_the_configuration_cannot_be_read() {
+    let endpoint = Endpoint::start();
+    let relay = Relay::new("faults-reload", &endpoint);
+    let faults = fault("read", "EIO", 1.0, 500, 1800);
+    let mut program = relay.launch_with(&faults, 1, &relay.folder);
+    program.wait_ready(1);
+    std::thread::sleep(Duration::from_millis(700));
+    program.signal("-HUP");
+    program.logged("configuration read again");
+    assert!(relay.faults_made() > 0, "no fault was made");
+    let seen = clients(&relay, "r", 1, Duration::from_millis(100));
+    assert!(!seen.accepted.is_empty() && seen.unanswered.is_empty());
+}
+
 fn newest_segment(state: &Path) -> PathBuf {
     let files = std::fs::read_dir(state).expect("a folder").flatten().map(|entry| entry.path());
     let number = |path: &PathBuf| path.file_name()?.to_str()?.strip_prefix("journal-")?.parse::<u64>().ok();
