--- a/src/fleet/distribution/set_file.rs
+++ b/src/fleet/distribution/set_file.rs
@@ -195,7 +195,7 @@
             }
             Portion::Last => {
                 std::fs::rename(&unfinished, &self.path)?;
-                kept::write(&self.folder.join(NAME_VERSION), &node.set().version());
+                kept::write(&self.folder.join(NAME_VERSION), &node.set().version())?;
                 (self.given_up, self.due, self.begin_from) = (0, Micros::MAX, now + EVERY);
             }
         }
--- a/src/fleet/snapshot.rs
+++ b/src/fleet/snapshot.rs
@@ -54,6 +54,7 @@
         let mut kept: Vec<Fact> = ledger.acted_on(now).filter(worth_it).collect();
         kept.sort_by(|a, b| b.known.differs(now).total_cmp(&a.known.differs(now)));
         kept.truncate(self.most);
-        kept::write(&self.file, &kept);
+        // The next one is written in any case.
+        let _ = kept::write(&self.file, &kept);
     }
 }
--- a/src/fleet/turning.rs
+++ b/src/fleet/turning.rs
@@ -20,6 +20,8 @@
 
 /// While a relay empties, it is looked at so often.
 const LOOK: Micros = 100_000;
+/// Interval between tries to write the file, in microseconds.
+const KEEP_AGAIN: Micros = 250_000;
 /// Strain is looked for so often.
 const STRAIN_EVERY: Micros = 250_000;
 /// It is empty once it has held nothing for so long: clients that have not heard yet may still come.
@@ -46,6 +48,12 @@
     by_turn: bool,
     empty_since: Option<Micros>,
     left: bool,
+    /// The file does not hold what the node says yet.
+    unkept: bool,
+    /// Not before this it is written again.
+    keep_at: Micros,
+    /// Orders that wait for the file.
+    orders: Vec<Order>,
     strained: bool,
     strain_at: Micros,
     said: String,
@@ -74,6 +82,9 @@
             by_turn,
             empty_since,
             left,
+            unkept: false,
+            keep_at: Micros::MIN,
+            orders: Vec::new(),
             strained,
             strain_at: now,
             said,
@@ -109,10 +120,18 @@
         let serving = self.standing.phase() == Phase::Serving;
         self.node.serves(now, unix_ms(now), serving && (self.by_turn || !self.standing.standby()));
         let orders = self.node.take_orders();
-        if self.node.take_changed() || !orders.is_empty() {
-            kept::write(&self.file, &self.node.kept());
+        self.unkept |= self.node.take_changed() || !orders.is_empty();
+        self.orders.extend(orders);
+        if self.unkept && now < self.keep_at {
+            return self.keep_at;
         }
-        for order in orders {
+        // Nothing is done that a restart would not know of.
+        if self.unkept && kept::write(&self.file, &self.node.kept()).is_err() {
+            self.keep_at = now + KEEP_AGAIN;
+            return self.keep_at;
+        }
+        self.unkept = false;
+        for order in std::mem::take(&mut self.orders) {
             let standby = match order {
                 Order::Out(turn) => {
                     let (incarnation, round) = (turn.fence.incarnation, turn.fence.round);
