Notice a task that ends by itself, and keep trying to listen for a successor

Cause: the tasks for clients, discovery, reports, partners and peers were spawned and forgotten: a panic in one would have left a process that is ready and silent. The handover's socket was opened once. Change: each tells its end, also by a panic, and the process then ends with the task's name. The socket is tried again.

--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -102,6 +102,26 @@
     }
 }
 
+/// Tells the end of a task that should last as long as the process, also by a panic.
+struct Watch(&'static str, mpsc::UnboundedSender<&'static str>);
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        let _ = self.1.send(self.0);
+    }
+}
+
+/// Runs a task that should last as long as the process, and tells its end.
+fn watched<F: Future>(
+    name: &'static str, ended: &mpsc::UnboundedSender<&'static str>, task: F,
+) -> impl Future<Output = ()> + use<F> {
+    let watch = Watch(name, ended.clone());
+    async move {
+        let _watch = watch;
+        task.await;
+    }
+}
+
 /// The tries of one reload: a file that cannot be read for a moment is read again, while the relay serves.
 #[derive(Default)]
 struct Reread {
@@ -169,6 +189,7 @@
     let most_idle = left - most_clients;
     let clients = Arc::new(AtomicUsize::new(most_clients));
 
+    let (ended, mut ends) = mpsc::unbounded_channel();
     let vocabulary =
         Vocabulary::new(config.names.classes(), &config.settings.classes, config.names.tenants());
     let (naming, named) = watch::channel(vocabulary);
@@ -182,7 +203,8 @@
             listener = listen(config.listen, &standing) => listener?,
             () = signals.stop() => return Ok(()),
         };
-        serving = Some(tokio::spawn(serve(listener, platform.clone(), clients.clone())));
+        let front = serve(listener, platform.clone(), clients.clone());
+        serving = Some(tokio::spawn(watched("clients' connections", &ended, front)));
     }
     let opened = tokio::select! {
         opened = open_state(&config, inherited.is_some(), (clock, anchor.as_ref()), &standing) => opened?,
@@ -240,7 +262,7 @@
     let mut said = Vec::new();
     let relays = config.fleet.as_ref().map(|fleet| fleet.all.clone()).unwrap_or_default();
     let (relays, replaced) = watch::channel(relays);
-    let mut link = None;
+    let mut peers = None;
     let leave = Arc::new(Notify::new());
     if let Some(setup) = &config.fleet {
         let seed = clock.now().unsigned_abs();
@@ -259,7 +281,9 @@
                 return Ok(());
             }
         };
-        (runtime, said, link) = (runtime.among(started.tell), started.said, Some(started.task));
+        (runtime, said) = (runtime.among(started.tell), started.said);
+        let abort = started.task.abort_handle();
+        peers = Some((abort, tokio::spawn(watched("peers", &ended, started.task))));
         // What control machines said last goes before the list of the file.
         known = started.endpoints.unwrap_or(known);
     }
@@ -281,13 +305,15 @@
 
     let [asked, told] = addresses(&config);
     let ((ask, asked), (tell, told)) = (watch::channel(asked), watch::channel(told));
-    let follow = tokio::spawn(discovery::follow(clock, asked, revision, (back_off, watch), inputs.clone()));
-    tokio::spawn(discovery::notify(clock, told, owed, inputs.clone()));
+    let follow = discovery::follow(clock, asked, revision, (back_off, watch), inputs.clone());
+    let follow = tokio::spawn(watched("discovery", &ended, follow));
+    tokio::spawn(watched("reports", &ended, discovery::notify(clock, told, owed, inputs.clone())));
     let mut fronts = vec![platform.clone()];
     if let Some((address, as2)) = as2 {
         let as2 = front(Front::Beside(as2));
         let most = Arc::new(AtomicUsize::new(most_partners));
-        tokio::spawn(serve(listen(address, &standing).await?, as2.clone(), most));
+        let partners = serve(listen(address, &standing).await?, as2.clone(), most);
+        tokio::spawn(watched("partners' connections", &ended, partners));
         fronts.push(as2);
     }
     let (links, mut linked) = mpsc::channel(1);
@@ -309,7 +335,8 @@
                 open_to_successors(&state, name, clock, inputs, links).await;
             }
         });
-        serving = Some(tokio::spawn(serve(listener, platform.clone(), places_now)));
+        let front = serve(listener, platform.clone(), places_now);
+        serving = Some(tokio::spawn(watched("clients' connections", &ended, front)));
     }
     let retiring = connections.clone();
     tokio::spawn(async move {
@@ -339,6 +366,7 @@
     let end = loop {
         tokio::select! {
             end = &mut served => break end?,
+            Some(task) = ends.recv() => return Err(format!("{task}: the task has ended by itself").into()),
             Some(()) = hangup.recv() => again = Reread::default(),
             () = again.due() => {}
         }
@@ -349,10 +377,14 @@
     if let End::HandedOver(left, inputs) = end {
         // All that the new process is to have: the listening socket and the notes' socket are let go of, then the
         // folder, of which the journal is closed already.
-        for task in [serving, Some(follow), link].into_iter().flatten() {
+        for task in [serving, Some(follow)].into_iter().flatten() {
             task.abort();
             let _ = task.await;
         }
+        if let Some((abort, task)) = peers {
+            abort.abort();
+            let _ = task.await;
+        }
         connections.keep_at_most(0);
         standing.enter(Phase::Superseded);
         drop(owner);
@@ -383,9 +415,16 @@
     state: &Path, name: String, clock: Clock, inputs: mpsc::Sender<Input>,
     links: mpsc::Sender<(Link, Micros)>,
 ) {
-    match link::listen(state) {
-        Ok(listener) => offer(listener, name, clock, inputs, links).await,
-        Err(error) => warn!("no process can take over while this one runs: {error}"),
+    let mut retries = Retries::default();
+    loop {
+        let error = match link::listen(state) {
+            Ok(listener) => return offer(listener, name, clock, inputs, links).await,
+            Err(error) => error,
+        };
+        let Some(interval) = retries.after("handover", &error) else {
+            return warn!("no process can take over while this one runs: {error}");
+        };
+        tokio::time::sleep(interval).await;
     }
 }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,7 @@
 
 mod command;
 
+use std::io::Write;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
@@ -150,7 +151,8 @@
         Some(Command::Record(command)) => record::carry_out(*command),
     };
     result.unwrap_or_else(|error| {
-        eprintln!("tulipfall: {error}");
+        // Where standard error cannot be written, the exit status still tells.
+        let _ = writeln!(std::io::stderr(), "tulipfall: {error}");
         ExitCode::FAILURE
     })
 }
