--- a/crates/faults-shim/src/calls.rs
+++ b/crates/faults-shim/src/calls.rs
@@ -146,6 +146,7 @@
         Kind::Other => return make(bytes),
         Kind::File => file,
         Kind::Socket => socket,
+        Kind::Log => "log",
     };
     if let Some(error) = take_error(descriptor) {
         return fail(error) as ssize_t;
--- a/crates/faults-shim/src/plan.rs
+++ b/crates/faults-shim/src/plan.rs
@@ -22,6 +22,8 @@
     File,
     /// A socket.
     Socket,
+    /// The standard error stream, to which the log goes.
+    Log,
 }
 
 /// How a call fails.
@@ -103,6 +105,9 @@
 
 /// What a descriptor leads to.
 pub fn kind(descriptor: i32) -> Kind {
+    if descriptor == libc::STDERR_FILENO {
+        return Kind::Log;
+    }
     match usize::try_from(descriptor).ok().and_then(|n| KINDS.get(n)).map(|k| k.load(Ordering::Relaxed)) {
         Some(1) => Kind::File,
         Some(2) => Kind::Socket,
--- a/crates/faults/src/scenario.rs
+++ b/crates/faults/src/scenario.rs
@@ -8,7 +8,7 @@
 use crate::errno;
 
 /// Calls that may be made to fail.
-const CALLS: [&str; 21] = [
+const CALLS: [&str; 22] = [
     "open",
     "create",
     "mkdir",
@@ -30,9 +30,10 @@
     "accept",
     "connect",
     "wait",
+    "log",
 ];
 /// Of these, the ones that move bytes, so that they can be short, torn or cut by a kill.
-const MOVES_BYTES: [&str; 4] = ["write", "read", "send", "recv"];
+const MOVES_BYTES: [&str; 5] = ["write", "read", "send", "recv", "log"];
 /// The largest step of the wall clock either way, in milliseconds: a day.
 const MAX_STEP_MS: i64 = 86_400_000;
 /// The file of the preloaded library.
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -283,6 +283,12 @@
     assert!(!seen.accepted.is_empty() && seen.unanswered.is_empty());
 }
 
+#[test]
+fn a_log_that_cannot_be_written_ends_no_task() {
+    let faults = fault("log", "ENOSPC", 1.0, 300, 60_000) + &fault("write", "ENOSPC", 1.0, 600, 900);
+    outlives_disk("faults-log", &faults, 1);
+}
+
 fn newest_segment(state: &Path) -> PathBuf {
     let files = std::fs::read_dir(state).expect("a folder").flatten().map(|entry| entry.path());
     let number = |path: &PathBuf| path.file_name()?.to_str()?.strip_prefix("journal-")?.parse::<u64>().ok();
