End a call that waited for the store as not sent, also where it is called off

Cause: the outage ended a call that was called off while its start waited for the store as cancelled, which means that it may have run; a non-idempotent message would have been given up although nothing of it had gone. Change: such a call ends as not sent, as one whose time to start is over. Measured: tests/outage.rs drives the runtime over a storage whose writes fail in part by a switch: what cannot be stored is refused and leaves nothing, a retry waits until its start is stored, a message whose time is up is reported meanwhile, what ended before is answered as before. 4 tests pass. A cancel that meets a waiting call has no test of its own.

--- a/src/runtime/outage.rs
+++ b/src/runtime/outage.rs
@@ -130,9 +130,9 @@
                     }
                     _ => self.release(Effect::Answer(reply)),
                 },
-                Effect::Call(_, call) if call_limit(&call) <= now => ended.push((call, Outcome::Skipped)),
+                Effect::Call(_, call) if call_limit(&call) <= now => ended.push(call),
                 Effect::CallOff(id, attempt) => match take_call(&mut kept, id, attempt) {
-                    Some(call) => ended.push((call, Outcome::Cancelled)),
+                    Some(call) => ended.push(call),
                     None => self.release(Effect::CallOff(id, attempt)),
                 },
                 Effect::Notice(notice, due) if due <= now => self.release(Effect::Notice(notice, due)),
@@ -142,7 +142,7 @@
         }
         self.effects = kept;
         refused.into_iter().for_each(|reply| self.refuse_unstored(reply));
-        ended.into_iter().for_each(|(call, outcome)| self.end_unstarted(&call, outcome));
+        ended.into_iter().for_each(|call| self.end_unstarted(&call));
     }
 
     /// Refuses a message whose acceptance is not stored, and forgets what was decided about it.
@@ -189,12 +189,13 @@
         }
     }
 
-    /// Ends an attempt that never started, without a trace in the store.
-    fn end_unstarted(&mut self, call: &OutboundCall, outcome: Outcome) {
+    /// Ends an attempt that never started as not sent, without a trace in the store.
+    fn end_unstarted(&mut self, call: &OutboundCall) {
         let (id, attempt, target) = (call.exchange.id.clone(), call.attempt, call.target);
         // Its end counts one call less in flight, and it was not counted.
         self.out += 1;
         let (began, report, evidence) = (self.clock.now(), Report::default(), Evidence::default());
+        let outcome = Outcome::Skipped;
         let end = CallEnd { id: id.clone(), attempt, target, outcome, over: false, began, report, evidence };
         self.call_ended(end);
         self.records.retain(|record| match record {
