Refuse another relay's folder by name, and try again where a socket's own address is not told

Change: the clock's file names the relay; another name ends the start with one line and changes nothing. bind and getsockname are tried again together. Reports that are not acknowledged are logged once a second at most, not 50 times. Measured: a_folder_that_cannot_be_used_ends_the_start_by_name_and_stays_as_it_is covers a file in the folder's place, a folder that cannot be written, one in use, another relay's and a damaged record: exit 1 and one line each, nothing changed.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -58,6 +58,8 @@
 /// What the clock of an earlier process showed, in terms that a later process of the same boot can go on from.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClockAnchor {
+    /// The relay whose state folder it lies in.
+    relay: String,
     /// The boot of the machine.
     boot: String,
     /// The monotonic clock's time when this was taken, in microseconds.
@@ -82,19 +84,25 @@
         Ok(anchor.inspect_err(|error| warn!("{}: {error}; the wall clock is used", file.display())).ok())
     }
 
-    /// A clock that goes on from an anchor of this boot, or else starts at the wall clock's time; with the anchor for the
+    /// The relay whose state folder it lies in.
+    pub fn relay(&self) -> &str {
+        &self.relay
+    }
+
+    /// A clock of a relay that goes on from an anchor of this boot, or else starts at the wall clock's time; with the anchor for the
     /// processes to come. Without a boot id no clock outlasts its process.
     ///
     /// # Errors
     /// If the monotonic clock cannot be read.
-    pub fn resume(earlier: Option<Self>) -> std::io::Result<(Clock, Option<Self>)> {
+    pub fn resume(relay: &str, earlier: Option<Self>) -> std::io::Result<(Clock, Option<Self>)> {
         let Ok(boot) = std::fs::read_to_string(BOOT_ID).map(|id| id.trim().to_string()) else {
             return Ok((Clock::start(), None));
         };
         let (start, now) = (Instant::now(), monotonic()?);
         let same = earlier.filter(|anchor| anchor.boot == boot && anchor.monotonic_us <= now);
         let unix = same.as_ref().map_or_else(wall, |anchor| anchor.unix_us + (now - anchor.monotonic_us));
-        let anchor = same.unwrap_or(ClockAnchor { boot, monotonic_us: now, unix_us: unix });
+        let anchor =
+            same.unwrap_or(ClockAnchor { relay: relay.into(), boot, monotonic_us: now, unix_us: unix });
         Ok((Clock { start, unix }, Some(anchor)))
     }
 
--- a/src/command/opening.rs
+++ b/src/command/opening.rs
@@ -64,10 +64,19 @@
 }
 
 /// The relay's clock, and what keeps it for later processes.
-pub async fn clock(state: &Path, standing: &Standing) -> std::io::Result<(Clock, Option<ClockAnchor>)> {
-    let earlier = until_works("clock", standing, async || ClockAnchor::read(state)).await?;
+pub async fn clock(
+    state: &Path, relay: &str, standing: &Standing,
+) -> Result<(Clock, Option<ClockAnchor>), Failure> {
+    let folder = state.display();
+    let earlier = until_works("clock", standing, async || ClockAnchor::read(state)).await;
+    let earlier = earlier.map_err(|error| format!("{folder}: {error}"))?;
+    if let Some(other) = earlier.as_ref().map(ClockAnchor::relay).filter(|other| *other != relay) {
+        return Err(
+            format!("{folder}: belongs to the relay {other:?}; give {relay:?} a folder of its own").into()
+        );
+    }
     let goes_on = earlier.is_some();
-    let (clock, anchor) = ClockAnchor::resume(earlier)?;
+    let (clock, anchor) = ClockAnchor::resume(relay, earlier)?;
     debug!(
         goes_on,
         ahead_us = clock.now() - Clock::start().now(),
@@ -79,10 +88,15 @@
 /// A socket on which clients or partners connect.
 pub async fn listen(address: SocketAddr, standing: &Standing) -> Result<TcpListener, Failure> {
     let what = format!("listen {address}");
-    let bound = until_works(&what, standing, async || TcpListener::bind(address).await).await;
-    let listener = bound.map_err(|error| format!("{what}: {error}"))?;
+    let bind = async || {
+        let listener = TcpListener::bind(address).await?;
+        let bound = listener.local_addr()?;
+        Ok::<_, std::io::Error>((listener, bound))
+    };
+    let bound = until_works(&what, standing, bind).await;
+    let (listener, bound) = bound.map_err(|error| format!("{what}: {error}"))?;
     // Told, as port 0 lets the system choose one.
-    info!("listening on {}", listener.local_addr()?);
+    info!("listening on {bound}");
     Ok(listener)
 }
 
--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -155,7 +155,7 @@
     let mut hangup = signal(SignalKind::hangup())?;
     let before_clock = Standing::starting(Clock::start());
     let (clock, anchor) = tokio::select! {
-        clock = opening::clock(&config.state, &before_clock) => clock?,
+        clock = opening::clock(&config.state, &config.name, &before_clock) => clock?,
         () = signals.stop() => return Ok(()),
     };
     let (inputs, received) = mpsc::channel(INPUTS);
@@ -431,6 +431,11 @@
 /// The clients' listening socket, as this process was started with it.
 fn adopt(fd: &str, expected: SocketAddr) -> Result<TcpListener, Failure> {
     let listener = inherited::listener(fd, expected).map_err(|why| format!("PROXY_ACCEPT_FD: {why}"))?;
-    info!("listening on {}", listener.local_addr()?);
-    Ok(TcpListener::from_std(listener)?)
+    let adopted = || {
+        let bound = listener.local_addr()?;
+        Ok::<_, std::io::Error>((TcpListener::from_std(listener.try_clone()?)?, bound))
+    };
+    let (adopted, bound) = until_works_blocking("listening socket", adopted)?;
+    info!("listening on {bound}");
+    Ok(adopted)
 }
--- a/src/fleet/mod.rs
+++ b/src/fleet/mod.rs
@@ -154,8 +154,13 @@
         // Permits tell who is there by themselves; only facts need to know more.
         asks: setup.facts.is_some(),
     };
-    let socket = until_works("notes", &standing, async || UdpSocket::bind(setup.listen).await).await?;
-    info!("notes between relays on {}", socket.local_addr()?);
+    let bind = async || {
+        let socket = UdpSocket::bind(setup.listen).await?;
+        let bound = socket.local_addr()?;
+        Ok::<_, std::io::Error>((socket, bound))
+    };
+    let (socket, bound) = until_works("notes", &standing, bind).await?;
+    info!("notes between relays on {bound}");
     let control = match setup.control.as_deref() {
         Some(path) => Some(until_works("control socket", &standing, async || listen(path)).await?),
         None => None,
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -37,6 +37,8 @@
 const ACTS_WITHIN: Micros = 500_000;
 /// Discovery is asked about once in so long by all relays together, where it does not answer.
 const PAUSE: Micros = 20_000;
+/// Shortest time between two log lines about reports that are not acknowledged, in microseconds.
+const WARN_EVERY: Micros = 1_000_000;
 /// Most doublings of a relay's pause.
 const MOST_DOUBLINGS: u32 = 4;
 
@@ -247,6 +249,7 @@
     inputs: mpsc::Sender<Input>,
 ) {
     let mut kept = None;
+    let mut warn_at = Micros::MIN;
     let mut pending = Vec::new();
     while notices.recv_many(&mut pending, 64).await > 0 {
         let lines: String = pending.iter().map(line).collect();
@@ -270,7 +273,10 @@
             match answer.map(|answer| answer.start) {
                 Some(Start::Response(204)) => break,
                 other => {
-                    warn!("notices not acknowledged: {other:?}");
+                    if clock.now() >= warn_at {
+                        warn_at = clock.now() + WARN_EVERY;
+                        warn!("reports are not acknowledged, the last answer was {other:?}; sent again");
+                    }
                     kept = None;
                     pause(clock, &mut address, PAUSE).await;
                 }
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -289,6 +289,47 @@
     outlives_disk("faults-log", &faults, 1);
 }
 
+/// Starts a relay on a folder that cannot be used; what it said last.
+fn refuses(relay: &Relay, faults: &str) -> String {
+    let (code, log) = relay.launch(faults, 1).ended();
+    assert_eq!(code, Some(1), "{log:?}");
+    log.last().cloned().unwrap_or_default()
+}
+
+#[test]
+fn a_folder_that_cannot_be_used_ends_the_start_by_name_and_stays_as_it_is() {
+    let endpoint = Endpoint::start();
+    let relay = Relay::new("faults-bad-folder", &endpoint);
+    let state = relay.state();
+    std::fs::write(&state, "a file").expect("a file");
+    let said = refuses(&relay, "");
+    assert!(said.contains("state") && std::fs::read(&state).expect("the file") == b"a file", "{said}");
+    std::fs::remove_file(&state).expect("removed");
+    let said = refuses(&relay, &fault("create", "EACCES", 1.0, 0, 60_000));
+    assert!(said.contains("state: Permission denied"), "{said}");
+    let mut program = relay.start("", 1);
+    let seen = clients(&relay, "b", 1, Duration::from_millis(100));
+    all_delivered(&endpoint, &seen);
+    let said = refuses(&relay, "");
+    assert!(said.contains("Address already in use") || said.contains("another process uses"), "{said}");
+    program.kill();
+    // Another relay's folder.
+    let file = relay.folder.join("config.json");
+    let text = std::fs::read_to_string(&file).expect("a file");
+    std::fs::write(&file, text.replace("\"name\":\"n0\"", "\"name\":\"n1\"")).expect("a file");
+    let said = refuses(&relay, "");
+    assert!(said.contains("belongs to the relay \"n0\""), "{said}");
+    std::fs::write(&file, text).expect("a file");
+    // A record in the middle is damaged.
+    let segment = newest_segment(&state);
+    let mut bytes = std::fs::read(&segment).expect("a segment");
+    bytes[12] ^= 1;
+    std::fs::write(&segment, &bytes).expect("a segment");
+    let said = refuses(&relay, "");
+    assert!(said.contains("is damaged at byte 0; move it away"), "{said}");
+    assert_eq!(std::fs::read(&segment).expect("a segment"), bytes);
+}
+
 fn newest_segment(state: &Path) -> PathBuf {
     let files = std::fs::read_dir(state).expect("a folder").flatten().map(|entry| entry.path());
     let number = |path: &PathBuf| path.file_name()?.to_str()?.strip_prefix("journal-")?.parse::<u64>().ok();
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -141,6 +141,12 @@
         while !self.log.recv_timeout(FAR).expect(text).contains(text) {}
     }
 
+    /// Its exit status, and what it logged, once it has ended.
+    pub fn ended(&mut self) -> (Option<i32>, Vec<String>) {
+        let code = self.child.wait().expect("its end").code();
+        (code, self.log.iter().collect())
+    }
+
     /// Whether it ended well, once it has ended.
     pub fn ended_well(&mut self) -> bool {
         self.child.wait().expect("its end").success()
