Encode a batch in place

The batch header made each record be encoded into a buffer of its own and copied twice. Frames are written where they stay and the header filled in at the end. Behaviour and bytes are the same: tests/store.rs and tests/store_faults.rs pass unchanged.

--- a/src/store/frames.rs
+++ b/src/store/frames.rs
@@ -29,41 +29,50 @@
 
 /// Encodes records that count only together.
 pub(super) fn encode_batch(records: &[Record]) -> Encoded {
-    let (mut frames, mut sizes) = (Vec::new(), Vec::new());
+    let header = if records.len() < 2 { 0 } else { BATCH_HEADER_BYTES as usize };
+    let (mut bytes, mut sizes) = (vec![0; header], Vec::with_capacity(records.len()));
     for record in records {
-        let mut payload = Vec::new();
-        encode(record, &mut payload);
-        put_frame(&payload, &mut frames);
-        sizes.push((payload.len() + FRAME) as u64);
+        let start = begin_frame(&mut bytes);
+        encode(record, &mut bytes);
+        end_frame(&mut bytes, start);
+        sizes.push((bytes.len() - start) as u64);
     }
-    if records.len() < 2 {
-        return Encoded { bytes: frames, sizes };
+    if header > 0 {
+        let (head, frames) = bytes.split_at_mut(header);
+        head[FRAME] = BATCH;
+        head[FRAME + 1..FRAME + 5].copy_from_slice(&(frames.len() as u32).to_le_bytes());
+        head[FRAME + 5..].copy_from_slice(&crc32fast::hash(frames).to_le_bytes());
+        end_frame(head, 0);
     }
-    let mut header = vec![BATCH];
-    header.extend_from_slice(&(frames.len() as u32).to_le_bytes());
-    header.extend_from_slice(&crc32fast::hash(&frames).to_le_bytes());
-    let mut bytes = Vec::with_capacity(frames.len() + BATCH_HEADER_BYTES as usize);
-    put_frame(&header, &mut bytes);
-    bytes.extend_from_slice(&frames);
     Encoded { bytes, sizes }
 }
 
 /// Encodes where segments end whose last write failed.
 pub(super) fn encode_abandoned(ends: &[SegmentEnd]) -> Vec<u8> {
-    let mut payload = vec![ABANDONED];
+    let mut bytes = Vec::new();
+    let start = begin_frame(&mut bytes);
+    bytes.push(ABANDONED);
     for (number, length) in ends {
-        payload.extend_from_slice(&number.to_le_bytes());
-        payload.extend_from_slice(&length.to_le_bytes());
+        bytes.extend_from_slice(&number.to_le_bytes());
+        bytes.extend_from_slice(&length.to_le_bytes());
     }
-    let mut bytes = Vec::new();
-    put_frame(&payload, &mut bytes);
+    end_frame(&mut bytes, start);
     bytes
 }
 
-fn put_frame(payload: &[u8], out: &mut Vec<u8>) {
-    out.extend_from_slice(&(payload.len() as u32).to_le_bytes());
-    out.extend_from_slice(&crc32fast::hash(payload).to_le_bytes());
-    out.extend_from_slice(payload);
+/// Leaves room for a frame's length and checksum; its payload follows. Returns where it begins.
+fn begin_frame(bytes: &mut Vec<u8>) -> usize {
+    let start = bytes.len();
+    bytes.extend_from_slice(&[0; FRAME]);
+    start
+}
+
+/// Fills in the length and the checksum of the frame that begins there and whose payload reaches to the end.
+fn end_frame(bytes: &mut [u8], start: usize) {
+    let payload = &bytes[start + FRAME..];
+    let (length, checksum) = (payload.len() as u32, crc32fast::hash(payload));
+    bytes[start..start + 4].copy_from_slice(&length.to_le_bytes());
+    bytes[start + 4..start + FRAME].copy_from_slice(&checksum.to_le_bytes());
 }
 
 /// What was read of a segment.
