Log the reason of each close and refusal, and each attempt that is decided

The evidence of the incident held no line of the relay's own. At the level debug a connection's close has its reason, a refusal the message's id, why and the advice, an attempt its number, endpoint and times; the end of an attempt was there. Nothing is added at the default level.

--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio_util::codec::Framed;
 
-use tracing::warn;
+use tracing::{debug, warn};
 
 use super::Protocol;
 use super::http::{Budget, Codec, HttpError, IDEMPOTENCY_KEY, MOST_BODY, Message, Start};
@@ -196,6 +196,11 @@
         }
     }
 
+    /// Notes why its connection is closed.
+    fn closed(&self, reason: &str) {
+        debug!(connection = self.number, reason, "closed");
+    }
+
     /// Comes when this place is wanted for another.
     async fn wanted(&self) {
         loop {
@@ -307,7 +312,7 @@
                 () = tokio::time::sleep_until(clock.instant(until)) => !quiet(framed.get_ref()),
             };
             if !comes {
-                return;
+                return place.closed("nothing more comes, or its place is wanted");
             }
         }
         place.at(Stage::Reading);
@@ -321,8 +326,10 @@
         };
         inbound.reading.fetch_sub(1, Ordering::Relaxed);
         let (mut answer, taken) = match next {
-            None | Some(Err(HttpError::Io(_))) => return,
+            None => return place.closed("its client ended it, or its place is wanted"),
+            Some(Err(HttpError::Io(error))) => return place.closed(&format!("read: {error}")),
             Some(Err(error)) => {
+                place.closed(&format!("after an answer: {error}"));
                 let status = match error {
                     HttpError::TooLarge(_) => 413,
                     HttpError::NoMemory => 503,
@@ -350,12 +357,17 @@
         let sent = tokio::time::timeout_at(until, framed.send(&answer)).await;
         inbound.busy.fetch_sub(1, Ordering::Relaxed);
         if !matches!(sent, Ok(Ok(()))) {
+            match sent {
+                Ok(Err(error)) => place.closed(&format!("the answer cannot be written: {error}")),
+                _ => place.closed("the answer is not taken"),
+            }
             if let Some(id) = taken {
                 let _ = inbound.inputs.send(Input::Withdrawn(id)).await;
             }
             return;
         }
         if !answer.keep_alive {
+            place.closed("after the last answer");
             return drain(clock, framed.into_inner(), place).await;
         }
         place.at(Stage::Between);
@@ -436,6 +448,7 @@
         // Whoever hands in what is held already must not withdraw it by going away.
         Ok(Answer::TakenBefore) => (Message::response(202, ""), None),
         Ok(Answer::Refused(why, after)) => {
+            debug!(message = id, why = &*why, after, "refused");
             let answer = Message::response(503, why.into_owned());
             let answer = match after {
                 Some(after) => answer.with("Retry-After", format!("{:.3}", after as f64 / 1e6)),
@@ -444,7 +457,10 @@
             (answer, None)
         }
         Ok(Answer::Unknown) => (Message::response(404, UNKNOWN_CLASS), None),
-        Ok(Answer::Failed(why)) => (Message::response(500, why.into_owned()), None),
+        Ok(Answer::Failed(why)) => {
+            debug!(message = id, why = &*why, "failed at once");
+            (Message::response(500, why.into_owned()), None)
+        }
         Err(_) => (Message::response(503, "stopped"), None),
     }
 }
--- a/src/runtime/actions.rs
+++ b/src/runtime/actions.rs
@@ -1,6 +1,7 @@
 //! The actions of the decision module, and how they are carried out.
 
 use record::model::cut;
+use tracing::debug;
 
 use crate::exchange::OutboundCall;
 use crate::fleet::ToFleet;
@@ -64,6 +65,7 @@
         if !cfg!(feature = "broken-order") {
             self.records.push(Record::Started { id: exchange.id.clone(), attempt, begun });
         }
+        debug!(message = exchange.id, attempt, endpoint = &*address, start_by, deadline, "attempt decided");
         let call = OutboundCall { exchange, attempt, target, address, lane, start_by, deadline };
         self.effects.push(Effect::Call(id, call));
     }
