Add a proxy that splits, stalls and resets, and let the soak put it before endpoints

crates/faults has a TCP proxy with seeded resets, splits and stalls, and counts of what it did; a scenario of the rig may list partners behind proxies, and the soak draws them as one more kind of fault.

--- a/crates/faults/src/lib.rs
+++ b/crates/faults/src/lib.rs
@@ -4,6 +4,7 @@
 //! They preload the library of `crates/faults-shim`, which makes the calls fail inside that child alone.
 
 mod errno;
+pub mod proxy;
 mod scenario;
 
 pub use scenario::{Child, Scenario, ScenarioError};
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -24,6 +24,7 @@
 const CARRIER: u16 = 7003;
 const AGENT: u16 = 7004;
 const PARTNERS: u16 = 9000;
+const PROXIES: u16 = 9500;
 
 /// Clients that come back are told to stay away for so long at the most.
 const LONGEST_ADVICE_US: u64 = 3_000_000;
@@ -83,6 +84,11 @@
         self.at(relay, AGENT)
     }
 
+    /// Where a relay finds a partner behind a proxy.
+    pub fn proxy(&self, relay: usize, partner: usize) -> SocketAddr {
+        self.at(relay, PROXIES + u16::try_from(partner).unwrap_or(0))
+    }
+
     /// Where a relay finds a partner.
     pub fn partner(&self, relay: usize, partner: usize) -> SocketAddr {
         self.at(relay, PARTNERS + u16::try_from(partner).unwrap_or(0))
--- a/crates/rig/src/scenario.rs
+++ b/crates/rig/src/scenario.rs
@@ -33,6 +33,9 @@
     /// Zones, each of so many relays as the others, in the order of numbers; one for each relay where it is zero.
     #[serde(default)]
     pub zones: usize,
+    /// The directory lists partners by the addresses of proxies before them.
+    #[serde(default)]
+    pub proxied: bool,
     /// Notes between relays.
     #[serde(default)]
     pub notes: Notes,
--- a/crates/rig/src/soak/chaos.rs
+++ b/crates/rig/src/soak/chaos.rs
@@ -158,7 +158,7 @@
                 let by_ms = STEPS_MS.choose(rng).copied().unwrap_or(0);
                 *text += &format!("[[step]]\nat_ms = {from_ms}\nby_ms = {by_ms}\n");
             }
-            Kind::Kill | Kind::ReplacedDisk | Kind::Terminate | Kind::Reload => {}
+            Kind::Proxy | Kind::Kill | Kind::ReplacedDisk | Kind::Terminate | Kind::Reload => {}
         }
     }
 }
--- a/crates/rig/src/soak/file.rs
+++ b/crates/rig/src/soak/file.rs
@@ -40,6 +40,8 @@
     Short,
     /// Connections break under reads and writes.
     Broken,
+    /// Connections to endpoints go through a proxy that splits, stalls and resets.
+    Proxy,
     /// Datagrams cannot be sent or received.
     Datagrams,
     /// The wall clock steps.
@@ -113,11 +115,11 @@
     }
 
     /// The load of a run with so many relays, as a scenario without faults of its own.
-    pub(super) fn scenario(&self, relays: usize) -> Result<Scenario> {
+    pub(super) fn scenario(&self, relays: usize, proxied: bool) -> Result<Scenario> {
         let per_s = self.per_relay_s * relays as f64;
         // Endpoints have room to spare: nothing is lost for want of it.
         let text = format!(
-            "about = \"soak\"\nrelays = {relays}\nseconds = {}\n[load]\nper_s = {per_s}\ntime_left_ms = {}\n\
+            "about = \"soak\"\nrelays = {relays}\nproxied = {proxied}\nseconds = {}\n[load]\nper_s = {per_s}\ntime_left_ms = {}\n\
              [[partner]]\ncount = 3\nper_s = {}\nwork_ms = [0, 12]\n",
             self.seconds,
             self.time_left_ms,
--- a/crates/rig/src/soak/run.rs
+++ b/crates/rig/src/soak/run.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use anyhow::{Context, Result};
+use faults::proxy;
 use nix::sys::signal::Signal;
 use serde::Serialize;
 use tokio::task::JoinSet;
@@ -29,6 +30,9 @@
 const DOWN_FOR: Duration = Duration::from_millis(200);
 /// From one look at a process to the next.
 const LOOK: Duration = Duration::from_millis(10);
+/// What proxies before endpoints do.
+const PROXY_TROUBLE: proxy::Trouble =
+    proxy::Trouble { reset: 0.01, split: 0.05, stall: 0.02, pause: Duration::from_millis(200) };
 /// After the last message's time is up, what is owed may still come for so long.
 const AFTER: Duration = Duration::from_millis(1800);
 
@@ -82,7 +86,8 @@
     if chaos.has(Kind::Datagrams) {
         build.environment.push(("TULIPFALL_NOTES".into(), "on".into()));
     }
-    let stage = Stage::set(file.scenario(chaos.relays)?, seed, &build, folder).await?;
+    let stage =
+        Stage::set(file.scenario(chaos.relays, chaos.has(Kind::Proxy))?, seed, &build, folder).await?;
     let Stage { scenario, net, book, clock, processes } = stage;
     let relays = chaos.relays;
     let shared = Arc::new(Shared {
@@ -101,6 +106,16 @@
     let hears: Vec<_> = (0..relays).map(|relay| net.notes(relay)).collect();
     fabric::start(scenario.clone(), seed, clock.clone(), &carriers, &hears).await?;
     partner::start_all(&scenario, seed, &clock, &net, &book).await?;
+    let mut proxies = Vec::new();
+    if scenario.proxied {
+        for (relay, partner) in
+            (0..relays).flat_map(|relay| (0..scenario.each_partner().len()).map(move |n| (relay, n)))
+        {
+            let (listen, to) = (net.proxy(relay, partner), net.partner(relay, partner));
+            let seed = seed ^ ((relay * 16 + partner) as u64) << 20;
+            proxies.push(proxy::start(listen, to, PROXY_TROUBLE, seed).await?);
+        }
+    }
     let mut first = JoinSet::new();
     for relay in 0..relays {
         let shared = shared.clone();
@@ -123,13 +138,24 @@
     let broken = shared.chaos.has(Kind::Broken);
     findings.extend(book.with(|log| find(log, &locked(&shared.gone), broken)));
     let lag_ms = lag.p99_ms();
+    let mut faults = shared.faults_made();
+    for counts in proxies {
+        let counts = [
+            ("proxy reset", &counts.resets),
+            ("proxy split", &counts.splits),
+            ("proxy stall", &counts.stalls),
+        ];
+        for (what, count) in counts {
+            *faults.entry(what.into()).or_default() += count.load(std::sync::atomic::Ordering::Relaxed);
+        }
+    }
     Ok(SoakOutcome {
         seed,
         relays,
         kinds: shared.chaos.kinds.iter().map(|kind| format!("{kind:?}")).collect(),
         messages: verdict.messages,
         starts: locked(&shared.starts).iter().sum(),
-        faults: shared.faults_made(),
+        faults,
         findings,
         lag_ms,
         kept_up: lag_ms <= LAG_MS,
--- a/crates/rig/src/stage.rs
+++ b/crates/rig/src/stage.rs
@@ -88,10 +88,10 @@
         let partners = scenario.each_partner();
         let mut processes = Vec::new();
         for relay in 0..scenario.relays {
-            let listed = partners
-                .iter()
-                .enumerate()
-                .map(|(n, p)| (net.partner(relay, n), if p.listed { p.per_s } else { 0.0 }));
+            let listed = partners.iter().enumerate().map(|(n, p)| {
+                let at = if scenario.proxied { net.proxy(relay, n) } else { net.partner(relay, n) };
+                (at, if p.listed { p.per_s } else { 0.0 })
+            });
             let list = agent::list(&listed.collect::<Vec<_>>());
             let config = configuration(&scenario, &net, relay, seed, list.clone());
             agent::start(scenario.clone(), relay, clock.clone(), net.agent(relay), list, book.clone())
