--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -7,7 +7,9 @@
 pub mod peers;
 pub mod publishing;
 pub mod record;
+mod reload;
 pub mod run;
+mod tasks;
 pub mod turns;
 
 /// Why it could not be done.
--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -20,7 +20,7 @@
 use tulipfall::handover::link::{self, Link, Word};
 use tulipfall::handover::new::{keep, places};
 use tulipfall::handover::old::{finish, offer};
-use tulipfall::input::{Input, Retuned};
+use tulipfall::input::Input;
 use tulipfall::interface::Micros;
 use tulipfall::net::connections::Connections;
 use tulipfall::net::http::Budget;
@@ -35,6 +35,8 @@
 
 use super::Failure;
 use super::opening::{self, OpenState, StopSignals, end_unserved, event_loop, listen, open_state};
+use super::reload::{Reload, Reread, addresses};
+use super::tasks::watched;
 
 /// After a signal to stop, the last call must have ended within this; the platform kills after 3.7 s.
 const STOP_WITHIN: Micros = 2_500_000;
@@ -56,99 +58,6 @@
     event_loop()?.block_on(run(config, load))
 }
 
-/// Where discovery is asked and where notices go, as texts.
-fn addresses(config: &Config) -> [Option<Arc<str>>; 2] {
-    [config.discovery, config.notices].map(|address| address.map(|address| address.to_string().into()))
-}
-
-/// What a reload reaches, and what it was read against.
-struct Reload {
-    /// The file as it counted at the start, for what only a start takes on.
-    start: Config,
-    /// What was last taken on of its settings.
-    last: Option<Retuned>,
-    to: [watch::Sender<Option<Arc<str>>>; 2],
-    relays: watch::Sender<Vec<SocketAddr>>,
-    inputs: mpsc::Sender<Input>,
-}
-
-impl Reload {
-    /// Takes on what a new configuration changes, whole; one that cannot be used leaves all as it is.
-    fn take(&mut self, new: Result<Config, ConfigError>) {
-        let new = match new.and_then(|new| new.whole_beside(&self.start).map(|()| new)) {
-            Ok(new) => new,
-            Err(error) => {
-                return warn!("the configuration cannot be used, the old one stays: {error}");
-            }
-        };
-        // First what new messages and attempts go by, then where news comes from.
-        let retuned = new.retuned(&self.start);
-        if self.last.as_ref().unwrap_or(&self.start.retuned(&self.start)) != &retuned {
-            // Inputs wait for the runtime, which this task drives too.
-            let (inputs, retuned) = (self.inputs.clone(), Box::new(retuned.clone()));
-            tokio::spawn(async move { inputs.send(Input::Retuned(retuned)).await });
-        }
-        self.last = Some(retuned);
-        for (address, to) in addresses(&new).into_iter().zip(&self.to) {
-            to.send_if_modified(|old| std::mem::replace(old, address.clone()) != address);
-        }
-        if let Some(fleet) = &new.fleet {
-            self.relays.send_if_modified(|old| std::mem::replace(old, fleet.all.clone()) != fleet.all);
-        }
-        let left = self.start.need_a_start(&new);
-        let left =
-            if left.is_empty() { String::new() } else { format!("; needs a restart: {}", left.join(", ")) };
-        info!("configuration read again{left}");
-    }
-}
-
-/// Tells the end of a task that should last as long as the process, also by a panic.
-struct Watch(&'static str, mpsc::UnboundedSender<&'static str>);
-
-impl Drop for Watch {
-    fn drop(&mut self) {
-        let _ = self.1.send(self.0);
-    }
-}
-
-/// Runs a task that should last as long as the process, and tells its end.
-fn watched<F: Future>(
-    name: &'static str, ended: &mpsc::UnboundedSender<&'static str>, task: F,
-) -> impl Future<Output = ()> + use<F> {
-    let watch = Watch(name, ended.clone());
-    async move {
-        let _watch = watch;
-        task.await;
-    }
-}
-
-/// The tries of one reload: a file that cannot be read for a moment is read again, while the relay serves.
-#[derive(Default)]
-struct Reread {
-    retries: Retries,
-    again_at: Option<tokio::time::Instant>,
-}
-
-impl Reread {
-    /// Waits until the file is to be read again; for ever where it is not.
-    async fn due(&self) {
-        match self.again_at {
-            Some(at) => tokio::time::sleep_until(at).await,
-            None => std::future::pending().await,
-        }
-    }
-
-    /// Reads once; none where that is tried again later.
-    fn read(
-        &mut self, load: impl FnOnce() -> Result<Config, ConfigError>,
-    ) -> Option<Result<Config, ConfigError>> {
-        let read = load();
-        let interval = read.as_ref().err().and_then(|error| self.retries.after("configuration", error));
-        self.again_at = interval.map(|interval| tokio::time::Instant::now() + interval);
-        interval.is_none().then_some(read)
-    }
-}
-
 async fn run(mut config: Config, load: impl Fn(bool) -> Result<Config, ConfigError>) -> Result<(), Failure> {
     // Before all else: a signal that finds no handler ends the process.
     let mut signals = StopSignals::install()?;
