Send each report on a connection of its own

Cause: discovery::ask sent on a kept connection without asking whether something lay there, and took a second 204 for the acknowledgement of the next report. The class is attribution by position. A report now has a new connection, on which nothing earlier can come; the address is an agent on the relay's own machine, where a connection costs next to nothing. The watch of the list keeps its connection, uses it only while nothing lies on it, and closes it on a list that is older than the one held.

Ruled out: reports that were read and not acknowledged alone lost nothing before either.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -12,6 +12,7 @@
 use tokio_util::codec::Framed;
 
 use super::http::{Codec, Message, Start};
+use super::quiet;
 use super::stream::Stream;
 use tracing::{debug, info, warn};
 
@@ -139,12 +140,14 @@
 /// Where something is to be asked or told, as the newest configuration has it.
 pub type Address = watch::Receiver<Option<Arc<str>>>;
 
-/// One call on a kept connection, which is dropped if it fails or is not answered by then.
+/// One call on a kept connection, which is dropped if it fails or is not answered by then. One on which something lies
+/// that nobody asked for is not used.
 async fn ask(
     clock: Clock, address: &str, kept: &mut Option<Connection>, request: &Message, by: Micros,
 ) -> Option<Message> {
     let answer = async {
-        let mut connection = match kept.take() {
+        let quiet = |kept: &Connection| kept.read_buffer().is_empty() && quiet(kept.get_ref());
+        let mut connection = match kept.take().filter(quiet) {
             Some(connection) => connection,
             None => {
                 let socket = TcpStream::connect(address).await.ok()?;
@@ -207,8 +210,10 @@
                 if wait > 0 && told.members.is_empty() && clock.now() < began + PAUSE {
                     pause(clock, &mut address, PAUSE).await;
                 }
-                // A whole list that is older than what is held tells nothing new.
+                // One that is older than what is held tells nothing new, and may be a copy of an earlier answer.
                 if told.revision < revision {
+                    kept = None;
+                    pause(clock, &mut address, PAUSE).await;
                     continue;
                 }
                 revision = told.revision;
@@ -243,12 +248,12 @@
     }
 }
 
-/// Takes notices to the newest address, each until it is acknowledged.
+/// Takes notices to the newest address, each until it is acknowledged. Each request has a connection of its own, so that
+/// an acknowledgement which comes twice is none of the next request's.
 pub async fn notify(
     clock: Clock, mut address: Address, mut notices: mpsc::UnboundedReceiver<Notice>,
     inputs: mpsc::Sender<Input>,
 ) {
-    let mut kept = None;
     let mut warn_at = Micros::MIN;
     let mut pending = Vec::new();
     while notices.recv_many(&mut pending, 64).await > 0 {
@@ -262,13 +267,11 @@
             let mut request = Message::request("POST", "/reports").with("Host", &*at);
             request.body = lines.clone().into();
             let by = clock.now() + SILENCE;
+            let mut own = None;
             let answer = tokio::select! {
-                answer = ask(clock, &at, &mut kept, &request, by) => answer,
+                answer = ask(clock, &at, &mut own, &request, by) => answer,
                 // What the old address may have heard does no harm at the new one.
-                Ok(()) = address.changed() => {
-                    kept = None;
-                    continue;
-                }
+                Ok(()) = address.changed() => continue,
             };
             match answer.map(|answer| answer.start) {
                 Some(Start::Response(204)) => break,
@@ -277,7 +280,6 @@
                         warn_at = clock.now() + WARN_EVERY;
                         warn!("reports are not acknowledged, the last answer was {other:?}; sent again");
                     }
-                    kept = None;
                     pause(clock, &mut address, PAUSE).await;
                 }
             }
