Let the soak add copies, parts and unasked answers, and freeze processes

The proxy of crates/faults repeats, cuts and adds whole answers behind what a server writes, up to a second later, by its seed, and counts each. The soak draws these as kinds copies, parts and unasked, and stops processes for 150 ms as kind freeze.

--- a/crates/faults/src/proxy.rs
+++ b/crates/faults/src/proxy.rs
@@ -1,4 +1,5 @@
-//! A TCP proxy on loopback that delays, splits, stalls and resets what goes through it, by a seed.
+//! A TCP proxy on loopback that delays, splits, stalls and resets what goes through it, and adds to what servers answer, by a
+//! seed.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -10,12 +11,52 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::Instant;
 
 /// Bytes that are read at once.
 const CHUNK_BYTES: usize = 16 * 1024;
 /// After the other side's connection has ended, one is reset this much later, so that nobody takes it for open still.
 const RESET_AFTER: Duration = Duration::from_millis(5);
 
+/// What a proxy adds to what a server wrote.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unasked {
+    /// The same bytes again.
+    Copy,
+    /// The first of the same bytes.
+    Part,
+    /// A whole HTTP answer of another status.
+    Answer,
+}
+
+/// How often, and how late, a proxy adds something to what a server wrote.
+#[derive(Clone, Copy, Debug)]
+pub struct Surplus {
+    /// What it adds.
+    pub what: Unasked,
+    /// The probability, each time that bytes come.
+    pub probability: f64,
+    /// The shortest and the longest time after these bytes.
+    pub late: [Duration; 2],
+}
+
+/// The statuses of answers that are added.
+const STATUSES: [u16; 3] = [200, 503, 500];
+
+impl Surplus {
+    /// What is added to these bytes.
+    fn bytes(&self, bytes: &[u8], rng: &mut SmallRng) -> Vec<u8> {
+        match self.what {
+            Unasked::Copy => bytes.to_vec(),
+            Unasked::Part => bytes[..rng.random_range(1..=bytes.len())].to_vec(),
+            Unasked::Answer => {
+                let status = STATUSES[rng.random_range(0..STATUSES.len())];
+                format!("HTTP/1.1 {status} Unasked\r\nContent-Length: 0\r\n\r\n").into_bytes()
+            }
+        }
+    }
+}
+
 /// How often a proxy does what; each a probability.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Trouble {
@@ -27,6 +68,8 @@
     pub stall: f64,
     /// The longest pause of a split, and the length of a stall.
     pub pause: Duration,
+    /// What is added to what servers write.
+    pub surplus: Option<Surplus>,
 }
 
 /// What a proxy did.
@@ -38,6 +81,8 @@
     pub splits: AtomicU64,
     /// Times that bytes were held back.
     pub stalls: AtomicU64,
+    /// Times that bytes were added.
+    pub added: AtomicU64,
 }
 
 /// What may be drawn of a proxy when bytes come.
@@ -88,8 +133,9 @@
     let back_rng = SmallRng::seed_from_u64(rng.random());
     let ((mut client_read, client_write), (mut server_read, server_write)) =
         (client.into_split(), server.into_split());
-    let mut forth = Direction { trouble, rng, counts: counts.clone() };
-    let mut back = Direction { trouble, rng: back_rng, counts: counts.clone() };
+    let forth_trouble = Trouble { surplus: None, ..trouble };
+    let mut forth = Direction { trouble: forth_trouble, rng, counts: counts.clone(), added: Vec::new() };
+    let mut back = Direction { trouble, rng: back_rng, counts: counts.clone(), added: Vec::new() };
     let (mut to_server, mut to_client) = (server_write, client_write);
     // The first direction that ends, ends both: the other side hears of it at once.
     let reset = tokio::select! {
@@ -106,22 +152,54 @@
     }
 }
 
+/// Comes with the bytes that are to be added next, once it is time.
+async fn next_added(added: &mut Vec<(Instant, Vec<u8>)>) -> Vec<u8> {
+    let Some(at) = added.iter().map(|(at, _)| *at).min() else { return std::future::pending().await };
+    tokio::time::sleep_until(at).await;
+    let next = added.iter().position(|(due, _)| *due == at).unwrap_or_default();
+    added.remove(next).1
+}
+
 /// One direction of a connection.
 struct Direction {
     trouble: Trouble,
     rng: SmallRng,
     counts: Arc<Counts>,
+    /// What is still to be added, and when.
+    added: Vec<(Instant, Vec<u8>)>,
 }
 
 impl Direction {
+    /// Draws whether something is to be added to these bytes.
+    fn draw_surplus(&mut self, bytes: &[u8]) {
+        let Some(surplus) = self.trouble.surplus else { return };
+        if self.rng.random_bool(surplus.probability) {
+            let [least, most] = surplus.late;
+            let late = least + (most - least).mul_f64(self.rng.random());
+            let bytes = surplus.bytes(bytes, &mut self.rng);
+            self.added.push((Instant::now() + late, bytes));
+        }
+    }
+
     /// Passes bytes on until the connection ends; returns whether it is to be reset.
     async fn pass(&mut self, from: &mut OwnedReadHalf, to: &mut OwnedWriteHalf) -> bool {
         let mut buffer = vec![0; CHUNK_BYTES];
         loop {
-            let bytes = match from.read(&mut buffer).await {
+            let read = tokio::select! {
+                read = from.read(&mut buffer) => read,
+                bytes = next_added(&mut self.added) => {
+                    self.counts.added.fetch_add(1, Ordering::Relaxed);
+                    if to.write_all(&bytes).await.is_err() {
+                        return false;
+                    }
+                    continue;
+                }
+            };
+            let bytes = match read {
                 Ok(0) | Err(_) => return false,
                 Ok(read) => &buffer[..read],
             };
+            self.draw_surplus(bytes);
             let (first, second) = match self.trouble.draw(&mut self.rng) {
                 Fate::Reset => return true,
                 Fate::Pass => (bytes, &[][..]),
--- a/crates/rig/src/soak/chaos.rs
+++ b/crates/rig/src/soak/chaos.rs
@@ -1,6 +1,9 @@
 //! What is drawn from a seed: the kinds of faults of a run, the faults of each process, and what is done to processes when.
 
+use std::time::Duration;
+
 use faults::Scenario as Faults;
+use faults::proxy::{Surplus, Trouble, Unasked};
 use rand::rngs::SmallRng;
 use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{Rng, SeedableRng};
@@ -11,6 +14,15 @@
 const STEPS_MS: [i64; 6] = [5_000, -5_000, 3_600_000, -3_600_000, 900, -900];
 /// The shortest and the longest span of a fault, in milliseconds.
 const WINDOW_MS: [u64; 2] = [300, 700];
+/// The longest time for which a process may stand still between reading its clock and writing.
+const FREEZE: Duration = Duration::from_millis(150);
+/// The shortest and the longest time after an answer at which something unasked comes: no page bounds how late it may be.
+const SURPLUS_LATE: [Duration; 2] = [Duration::ZERO, Duration::from_secs(1)];
+/// Share of answers behind which something unasked comes.
+const SURPLUS_SHARE: f64 = 0.1;
+/// What proxies before endpoints do to connections.
+const PROXY_TROUBLE: Trouble =
+    Trouble { reset: 0.01, split: 0.05, stall: 0.02, pause: Duration::from_millis(200), surplus: None };
 /// A start has faults from its beginning on by this chance.
 const AT_START: f64 = 0.5;
 
@@ -23,6 +35,8 @@
     Terminate,
     /// SIGHUP.
     Reload,
+    /// SIGSTOP, and SIGCONT after this.
+    Freeze { lasting: Duration },
 }
 
 /// One run, drawn from its seed.
@@ -71,6 +85,17 @@
         self.kinds.contains(&kind)
     }
 
+    /// What the proxies before endpoints do; `None` where there are none.
+    pub(super) fn proxy_trouble(&self) -> Option<Trouble> {
+        if !self.kinds.iter().any(|kind| kind.proxied()) {
+            return None;
+        }
+        let trouble = if self.has(Kind::Proxy) { PROXY_TROUBLE } else { Trouble::default() };
+        let what = self.kinds.iter().find_map(|kind| unasked(*kind));
+        let surplus = |what| Surplus { what, probability: SURPLUS_SHARE, late: SURPLUS_LATE };
+        Some(Trouble { surplus: what.map(surplus), ..trouble })
+    }
+
     /// The faults of the `start`-th process of a relay.
     pub(super) fn faults(&self, relay: usize, start: u64) -> (String, u64) {
         let seed = self.seed ^ (relay as u64 + 1) << 32 ^ (start + 1) << 48;
@@ -158,11 +183,22 @@
                 let by_ms = STEPS_MS.choose(rng).copied().unwrap_or(0);
                 *text += &format!("[[step]]\nat_ms = {from_ms}\nby_ms = {by_ms}\n");
             }
-            Kind::Proxy | Kind::Kill | Kind::ReplacedDisk | Kind::Terminate | Kind::Reload => {}
+            Kind::Proxy | Kind::Copies | Kind::Parts | Kind::Unasked => {}
+            Kind::Kill | Kind::ReplacedDisk | Kind::Terminate | Kind::Reload | Kind::Freeze => {}
         }
     }
 }
 
+/// What is added to answers where a run has this kind.
+fn unasked(kind: Kind) -> Option<Unasked> {
+    match kind {
+        Kind::Copies => Some(Unasked::Copy),
+        Kind::Parts => Some(Unasked::Part),
+        Kind::Unasked => Some(Unasked::Answer),
+        _ => None,
+    }
+}
+
 /// What is done to processes where a run has this kind.
 fn deed(kind: Kind) -> Option<Deed> {
     match kind {
@@ -170,6 +206,7 @@
         Kind::ReplacedDisk => Some(Deed::Kill { disk_replaced: true }),
         Kind::Terminate => Some(Deed::Terminate),
         Kind::Reload => Some(Deed::Reload),
+        Kind::Freeze => Some(Deed::Freeze { lasting: FREEZE }),
         _ => None,
     }
 }
--- a/crates/rig/src/soak/file.rs
+++ b/crates/rig/src/soak/file.rs
@@ -42,6 +42,12 @@
     Broken,
     /// Connections to endpoints go through a proxy that splits, stalls and resets.
     Proxy,
+    /// Answers of endpoints come again, up to a second later.
+    Copies,
+    /// Parts of answers of endpoints come again, up to a second later.
+    Parts,
+    /// Answers come from endpoints that nobody asked for, up to a second after others.
+    Unasked,
     /// Datagrams cannot be sent or received.
     Datagrams,
     /// The wall clock steps.
@@ -54,6 +60,15 @@
     Terminate,
     /// Processes read their configuration again.
     Reload,
+    /// Processes stand still for up to 150 ms.
+    Freeze,
+}
+
+impl Kind {
+    /// Whether it takes a proxy before endpoints.
+    pub(super) fn proxied(self) -> bool {
+        matches!(self, Kind::Proxy | Kind::Copies | Kind::Parts | Kind::Unasked)
+    }
 }
 
 /// A soak.
--- a/crates/rig/src/soak/run.rs
+++ b/crates/rig/src/soak/run.rs
@@ -30,9 +30,6 @@
 const DOWN_FOR: Duration = Duration::from_millis(200);
 /// From one look at a process to the next.
 const LOOK: Duration = Duration::from_millis(10);
-/// What proxies before endpoints do.
-const PROXY_TROUBLE: proxy::Trouble =
-    proxy::Trouble { reset: 0.01, split: 0.05, stall: 0.02, pause: Duration::from_millis(200) };
 /// After the last message's time is up, what is owed may still come for so long.
 const AFTER: Duration = Duration::from_millis(1800);
 
@@ -86,8 +83,9 @@
     if chaos.has(Kind::Datagrams) {
         build.environment.push(("TULIPFALL_NOTES".into(), "on".into()));
     }
-    let stage =
-        Stage::set(file.scenario(chaos.relays, chaos.has(Kind::Proxy))?, seed, &build, folder).await?;
+    let trouble = chaos.proxy_trouble();
+    let scenario = file.scenario(chaos.relays, trouble.is_some())?;
+    let stage = Stage::set(scenario, seed, &build, folder).await?;
     let Stage { scenario, net, book, clock, processes } = stage;
     let relays = chaos.relays;
     let shared = Arc::new(Shared {
@@ -107,13 +105,13 @@
     fabric::start(scenario.clone(), seed, clock.clone(), &carriers, &hears).await?;
     partner::start_all(&scenario, seed, &clock, &net, &book).await?;
     let mut proxies = Vec::new();
-    if scenario.proxied {
+    if let Some(trouble) = trouble {
         for (relay, partner) in
             (0..relays).flat_map(|relay| (0..scenario.each_partner().len()).map(move |n| (relay, n)))
         {
             let (listen, to) = (net.proxy(relay, partner), net.partner(relay, partner));
             let seed = seed ^ ((relay * 16 + partner) as u64) << 20;
-            proxies.push(proxy::start(listen, to, PROXY_TROUBLE, seed).await?);
+            proxies.push(proxy::start(listen, to, trouble, seed).await?);
         }
     }
     let mut first = JoinSet::new();
@@ -144,6 +142,7 @@
             ("proxy reset", &counts.resets),
             ("proxy split", &counts.splits),
             ("proxy stall", &counts.stalls),
+            ("proxy surplus", &counts.added),
         ];
         for (what, count) in counts {
             *faults.entry(what.into()).or_default() += count.load(std::sync::atomic::Ordering::Relaxed);
@@ -290,6 +289,12 @@
                 with(&self.processes, relay, |process| process.signal(Signal::SIGHUP));
                 return Ok(());
             }
+            Deed::Freeze { lasting } => {
+                with(&self.processes, relay, |process| process.signal(Signal::SIGSTOP));
+                tokio::time::sleep(lasting).await;
+                with(&self.processes, relay, |process| process.signal(Signal::SIGCONT));
+                return Ok(());
+            }
             Deed::Kill { disk_replaced } => {
                 with(&self.processes, relay, |process| process.kill(disk_replaced));
                 if disk_replaced {
