Take an answer on a used connection for a call's own only once nothing follows it

Cause: on HTTP/1.1 an answer was taken for the call that was out by position alone. Connections::idle looked at what had come by the time a connection was taken, 2 ms after the answer at the soonest; a copy that came later, while the next call was out, was that call's answer, and every later answer of the connection belonged to the call before.

Change: attribution is a type (src/reuse.rs, Attribution). The first answer on a connection is certain. A later one is provisional: it counts once the connection has stayed quiet for as long as its endpoint's answers usually take, 50 ms to 1 s; whatever comes before that makes it doubtful, and doubtful means that the call may have run and is not yet delivered. The module hears of the answer at once (Event::Answered), so that no place at the destination is held meanwhile. A connection carries another call only after answers that ended a message, rests 50 ms first, and is watched while it rests (src/net/resting.rs). An endpoint that wrote unasked gets a new connection for each call for 10 s, doubling to 10 min; two such at a time, and all endpoints do.

--- a/src/command/run.rs
+++ b/src/command/run.rs
@@ -138,7 +138,8 @@
     };
     let replay = journal.replay();
     let settings = &config.settings;
-    let connections = Connections::new(clock, settings.connect_timeout, settings.connection_idle, most_idle);
+    let connections = Connections::new(clock, settings.connect_timeout, settings.connection_idle, most_idle)
+        .counted_by(standing.connections().clone());
     let as2 = config.as2.take().map(|as2| {
         let receipts = replay.receipts.clone();
         let front = As2::new(as2.identity, clock, inputs.clone(), connections.clone(), receipts);
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -11,7 +11,7 @@
 
 pub use crate::clock::Clock;
 
-use crate::interface::{Micros, Outcome, Report, TargetId};
+use crate::interface::{Effect, Micros, Outcome, Report, TargetId};
 use crate::wire::RawEntry;
 
 /// The key by which a destination recognises the repeats of a message of a keyed class. It is passed on unchanged.
@@ -121,12 +121,33 @@
     pub address: Arc<str>,
     /// What shares its destination's limit and told waits: the number of the module's lane.
     pub lane: usize,
+    /// What a repeat of the message does.
+    pub effect: Effect,
     /// Its bytes go before then or not at all.
     pub start_by: Micros,
     /// The relay stops waiting then.
     pub deadline: Micros,
 }
 
+/// How an attempt was answered, as far as that is known before its end.
+#[derive(Clone, Debug)]
+pub struct Answered {
+    /// The message's id.
+    pub id: String,
+    /// Which attempt.
+    pub attempt: u32,
+    /// The endpoint.
+    pub target: TargetId,
+    /// What the answer means if it is the attempt's own.
+    pub outcome: Outcome,
+    /// When it was sent.
+    pub began: Micros,
+    /// When the whole answer had come.
+    pub at: Micros,
+    /// What the endpoint told of its limit.
+    pub report: Report,
+}
+
 /// How an attempt ended.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct CallEnd {
@@ -142,6 +163,9 @@
     pub over: bool,
     /// When it was sent.
     pub began: Micros,
+    /// When its whole answer had come, if one did. A process of an earlier build tells none.
+    #[serde(default)]
+    pub answered: Option<Micros>,
     /// What the endpoint told of its limit.
     pub report: Report,
     /// What was heard of it.
--- a/src/fleet/told.rs
+++ b/src/fleet/told.rs
@@ -6,7 +6,6 @@
 use permits::note::Sign;
 use permits::steward::Report;
 
-use crate::exchange::CallEnd;
 use crate::interface::{DestinationId, Hearsay, Micros, Outcome, Word};
 
 /// What the runtime tells.
@@ -31,9 +30,11 @@
     },
 }
 
-/// What the end of a call shows.
-pub fn ended(destination: i64, end: &CallEnd, now: Micros) -> ToFleet {
-    let (seen, sign, wait) = match end.outcome {
+/// What the end of a call shows that began then, with what the endpoint told of its limit.
+pub fn ended(
+    destination: i64, outcome: Outcome, (began, ended): (Micros, Micros), told: &crate::interface::Report,
+) -> ToFleet {
+    let (seen, sign, wait) = match outcome {
         Outcome::Ok => (SeenSign::Well, Some(Sign::Well), None),
         Outcome::Full(wait) => (SeenSign::Refused(wait), Some(Sign::Refused), wait),
         Outcome::Crowded => (SeenSign::Nothing, Some(Sign::Crowded), None),
@@ -42,9 +43,9 @@
         }
         Outcome::Spoilt | Outcome::Cancelled | Outcome::Skipped => (SeenSign::Nothing, None, None),
     };
-    let (began, limit, left) = (end.began, end.report.limit, end.report.left);
+    let (limit, left) = (told.limit, told.left);
     let report = sign.map(|sign| Report { sign, began, wait, limit, left });
-    ToFleet::Ended { destination, report, seen: Seen { destination, began, ended: now, sign: seen, limit } }
+    ToFleet::Ended { destination, report, seen: Seen { destination, began, ended, sign: seen, limit } }
 }
 
 /// A fact as the module hears of it. A wait binds who was told it, a pace and connections are each relay's own, and a
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -414,6 +414,9 @@
     Stop(Micros),
     /// An attempt ended.
     Done(Done),
+    /// An attempt was answered so, and it is still to settle whether the answer is its own: [`Event::Done`] follows. The
+    /// destination is done with the call in any case.
+    Answered(Done),
     /// The client withdrew the message.
     Gone(MessageId),
     /// Somebody else saw something of a destination. It may be wrong, late or told twice.
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -1,30 +1,26 @@
-//! The connections to whom the relay calls: endpoints, and AS2 partners for their receipts. Owns the pool of
-//! idle ones, and tells exactly whether a request's last byte was written. It must never send a request twice,
-//! on whatever connection, nor a call's bytes while something stands against the call.
+//! The connections to whom the relay calls: endpoints, and AS2 partners for their receipts. Tells exactly whether a
+//! request's last byte was written, and whether an answer certainly belongs to its request. It must never send a request
+//! twice, on whatever connection, nor a call's bytes while something stands against the call.
 
-use std::collections::HashMap;
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use futures_util::{FutureExt, SinkExt, StreamExt};
 use record::model::Evidence;
 use tokio::net::TcpStream;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio_util::codec::Framed;
 use tracing::{debug, warn};
 
 use super::clearance::Clearance;
-use super::http::{AnswerCodec, HttpError, MOST_BODY, Message, Part};
-use super::quiet;
+use super::http::{AnswerCodec, HttpError, MOST_BODY, Message, Part, Start};
+use super::resting::{Broken, Connection, Pool, Settling, Surplus};
 use super::stream::{Stream, failed_locally};
 use crate::exchange::{Clock, OutboundCall};
-use crate::interface::{Micros, Outcome, TargetId};
+use crate::interface::{Effect, Micros, Outcome, TargetId};
+use crate::reuse::{AnswerKind, Attribution, Provision, REST, ReusePolicy, may_carry_more, provision};
+use crate::standing::ConnectionCounts;
 
-type Connection = Framed<Stream, AnswerCodec>;
-
-/// Idle connections kept to one endpoint.
-const MOST_IDLE: usize = 16;
-/// What does not belong to an answer may follow it for so long; until then its connection is not used again.
-const SETTLES: Micros = 2_000;
 /// Where an answer's first line tells all, the rest may take so long before the connection is given up ...
 const REST_WITHIN: Micros = 100_000;
 /// ... and so long where it tells all but a wait: cut off sooner, one that comes in pieces would not be heard.
@@ -33,18 +29,19 @@
 const LOCAL_RETRY: Micros = 2_000;
 /// An idle connection is retired when this part of its idle life is left.
 const RETIRE_PART: Micros = 10;
+/// A connection is watched after an answer until this long after its call's deadline at the most, in microseconds.
+const PAST_DEADLINE: Micros = 100_000;
+/// What settles then is told within this, in microseconds.
+const SETTLED_WITHIN: Micros = 20_000;
+/// This part of the descriptors for idle connections is for those that settle.
+const SETTLING_PART: usize = 3;
+/// Shortest time between two log lines about surplus bytes at the default level, in microseconds.
+const WARN_EVERY: Micros = 1_000_000;
 
 /// Whom a connection leads to: an address, and the endpoint that was told to listen there. The address may pass
 /// to another endpoint, to which no connection of the old one leads.
 pub type Place = (Arc<str>, Option<TargetId>);
 
-/// Idle connections, by whom they lead to. Invariant: none has a call out.
-#[derive(Default)]
-struct Pool {
-    idle: HashMap<Place, Vec<(Connection, Micros)>>,
-    count: usize,
-}
-
 /// The connections to endpoints, on which one request at a time is answered.
 #[derive(Clone)]
 pub struct Connections {
@@ -53,7 +50,20 @@
     connect_within: Micros,
     idle_for: Micros,
     most_idle: Arc<AtomicUsize>,
-    pool: Arc<Mutex<Pool>>,
+    pool: Arc<Mutex<Pool<Place>>>,
+    /// Places for connections that are no call's any more and do not rest yet.
+    settling: Arc<Semaphore>,
+    watch: Watch,
+}
+
+/// What is known of surplus bytes, and who is told.
+#[derive(Clone)]
+struct Watch {
+    clock: Clock,
+    policy: Arc<Mutex<ReusePolicy<Place>>>,
+    counts: Arc<ConnectionCounts>,
+    opened: Arc<AtomicU64>,
+    warn_at: Arc<Mutex<Micros>>,
 }
 
 /// How far a request and its answer came.
@@ -71,12 +81,22 @@
     pub wait: Option<Micros>,
     /// A receipt that proves the request processed.
     pub receipt: Option<Evidence>,
+    /// Whether what came belongs to the request.
+    pub attribution: Attribution,
+    /// When the whole answer had come.
+    pub answered: Option<Micros>,
+    /// The number of the connection in this process, if one was there.
+    pub connection: Option<u64>,
+    /// Calls that it had carried before.
+    pub calls_before: u32,
+    /// For how long it had rested, in microseconds.
+    pub rested: Micros,
 }
 
 impl Progress {
     /// Delivered, whatever becomes of the rest of the answer.
     pub fn delivered(&self) -> bool {
-        self.first_tells && self.first == Some(200)
+        self.first_tells && self.first == Some(200) && self.attribution == Attribution::Certain
     }
 
     /// What was heard.
@@ -86,13 +106,115 @@
     }
 }
 
+/// A whole answer, which may still have to settle.
+pub struct Answered {
+    place: Place,
+    connection: Connection,
+    effect: Effect,
+    sent: Micros,
+    at: Micros,
+    answer: Message,
+    /// It is watched until then at the most.
+    watched_until: Micros,
+}
+
+impl Answered {
+    /// The answer.
+    pub fn answer(&self) -> &Message {
+        &self.answer
+    }
+
+    /// When it had come.
+    pub fn at(&self) -> Micros {
+        self.at
+    }
+
+    fn kind(&self) -> AnswerKind {
+        match self.answer.start {
+            Start::Response(200..=299 | 410) => AnswerKind::EndsMessage,
+            Start::Response(429 | 503 | 504) => AnswerKind::NeverRan,
+            _ => AnswerKind::MayHaveRun,
+        }
+    }
+}
+
+impl Watch {
+    fn policy(&self) -> MutexGuard<'_, ReusePolicy<Place>> {
+        self.policy.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Bytes came on a connection that nobody had asked for. Whoever tells this closes it.
+    fn surplus(&self, place: &Place, connection: &Connection, surplus: Surplus, during: &'static str) {
+        let now = self.clock.now();
+        self.policy().surplus(place, now);
+        ConnectionCounts::add(&self.counts.surplus);
+        let (endpoint, number, calls) = (&*place.0, connection.number, connection.calls);
+        let Surplus { bytes, status } = surplus;
+        let mut warn_at = self.warn_at.lock().unwrap_or_else(PoisonError::into_inner);
+        if now < *warn_at {
+            return debug!(
+                endpoint,
+                connection = number,
+                calls,
+                bytes,
+                status,
+                during,
+                "closed for surplus bytes"
+            );
+        }
+        *warn_at = now + WARN_EVERY;
+        warn!(
+            endpoint,
+            connection = number,
+            calls,
+            bytes,
+            status,
+            during,
+            "closed for surplus bytes; its endpoint gets a new connection for each call for a while"
+        );
+    }
+
+    fn broken(&self, place: &Place, connection: &Connection, how: Broken) {
+        match how {
+            Broken::Surplus(surplus) => self.surplus(place, connection, surplus, "rest"),
+            Broken::Closed => {
+                debug!(
+                    endpoint = &*place.0,
+                    connection = connection.number,
+                    "closed by the other side at rest"
+                );
+            }
+        }
+    }
+}
+
 impl Connections {
     /// With the settings' limits on connecting and on idle connections, of which `most_idle` are kept.
     pub fn new(clock: Clock, connect_within: Micros, idle_limit: Micros, most_idle: usize) -> Self {
         let idle_for = idle_limit - idle_limit / RETIRE_PART;
-        let most_idle = Arc::new(AtomicUsize::new(most_idle));
+        let settling = Arc::new(Semaphore::new(most_idle / SETTLING_PART));
+        let most_idle = Arc::new(AtomicUsize::new(most_idle - most_idle / SETTLING_PART));
         let clearance = Clearance::new(clock);
-        Connections { clock, clearance, connect_within, idle_for, most_idle, pool: Arc::default() }
+        let warn_at = Arc::new(Mutex::new(Micros::MIN));
+        let (policy, counts, opened) = Default::default();
+        let watch = Watch { clock, policy, counts, opened, warn_at };
+        Connections {
+            clock,
+            clearance,
+            connect_within,
+            idle_for,
+            most_idle,
+            pool: Arc::default(),
+            settling,
+            watch,
+        }
+    }
+
+    /// Counts surplus bytes, doubtful answers and new connections there.
+    #[must_use]
+    pub fn counted_by(mut self, counts: Arc<ConnectionCounts>) -> Self {
+        self.watch.counts = counts;
+        self
     }
 
     /// What stands against calls.
@@ -100,24 +222,102 @@
         &self.clearance
     }
 
+    /// [`Connections::call`] and [`Connections::settle`] in one.
+    ///
+    /// # Errors
+    /// Those of both.
+    pub async fn ask(
+        &self, place: &Place, call: Option<&OutboundCall>, request: impl FnOnce() -> Message,
+        progress: &mut Progress,
+    ) -> Result<Message, Outcome> {
+        let answered = self.call(place, call, request, progress).await?;
+        self.settle(answered, progress).await
+    }
+
     /// Writes a request once, on one connection, and reads the answer; `progress` tells how far both came. It is made
     /// once the connection is there; where it is the request of `call`, not a byte goes while something stands against
     /// that, and not the last one either. Whoever drops this in between ends the connection.
     ///
     /// # Errors
-    /// The outcome, where no whole answer came.
-    pub async fn ask(
+    /// The outcome, where no whole answer came by the deadline of `call`.
+    pub async fn call(
         &self, place: &Place, call: Option<&OutboundCall>, request: impl FnOnce() -> Message,
         progress: &mut Progress,
-    ) -> Result<Message, Outcome> {
-        let (mut connection, since) = match self.idle(place).await {
-            Some(idle) => idle,
+    ) -> Result<Answered, Outcome> {
+        let deadline = call.map_or(Micros::MAX, |call| call.deadline);
+        let exchange = self.exchange(place, call, request, progress);
+        let answered = tokio::time::timeout_at(self.clock.instant(deadline), exchange).await;
+        let answered = answered.unwrap_or(Err(Outcome::TimedOut))?;
+        progress.answered = Some(answered.at);
+        Ok(answered)
+    }
+
+    /// Room for the connection of an answer that is still to settle, so that its call need not be counted as one that is out.
+    /// `None` where nothing is left to settle, or there is no room.
+    pub fn release(&self, answered: &Answered, progress: &Progress) -> Option<OwnedSemaphorePermit> {
+        let settles = provision(answered.effect, answered.kind()) == Provision::Settle;
+        if progress.attribution == Attribution::Certain || !settles {
+            return None;
+        }
+        self.settling.clone().try_acquire_owned().ok()
+    }
+
+    /// Settles whether an answer belongs to its call, and what becomes of the connection. One that may be a copy is watched
+    /// for what else comes, or its connection is closed.
+    ///
+    /// # Errors
+    /// The outcome, where the answer may belong to another call.
+    pub async fn settle(&self, answered: Answered, progress: &mut Progress) -> Result<Message, Outcome> {
+        let kind = answered.kind();
+        let Answered { place, mut connection, effect, sent, at, answer, watched_until } = answered;
+        connection.closing = !answer.keep_alive;
+        let quiet_until = self.watch.policy().quiet_until(&place, sent, at);
+        let settled = match (progress.attribution, provision(effect, kind)) {
+            (Attribution::Certain, _) => {
+                self.watch.policy().answered(&place, at - sent, at);
+                None
+            }
+            (_, Provision::Close) => return Ok(answer),
+            (_, Provision::Settle) => Some(connection.settling.add(at, quiet_until.min(watched_until))),
+        };
+        self.rest(&place, connection, at, may_carry_more(kind));
+        let Some(settled) = settled else { return Ok(answer) };
+        let by = self.clock.instant(watched_until.saturating_add(SETTLED_WITHIN));
+        if !matches!(tokio::time::timeout_at(by, settled).await, Ok(Ok(()))) {
+            progress.attribution = Attribution::Doubtful;
+            ConnectionCounts::add(&self.watch.counts.doubtful);
+            return Err(Outcome::Spoilt);
+        }
+        progress.attribution = Attribution::Certain;
+        Ok(answer)
+    }
+
+    /// What becomes of a connection after an answer that came then.
+    fn rest(&self, place: &Place, connection: Connection, at: Micros, carries_more: bool) {
+        if !connection.framed.read_buffer().is_empty() {
+            let surplus = Surplus::read(connection.framed.read_buffer());
+            return self.watch.surplus(place, &connection, surplus, "answer");
+        }
+        let carries_more = carries_more && !connection.closing && !self.watch.policy().withholds(place, at);
+        self.keep(place, connection, (at, carries_more.then_some(at + REST)));
+    }
+
+    /// One request and its answer.
+    async fn exchange(
+        &self, place: &Place, call: Option<&OutboundCall>, request: impl FnOnce() -> Message,
+        progress: &mut Progress,
+    ) -> Result<Answered, Outcome> {
+        let effect = call.map_or(Effect::Safe, |call| call.effect);
+        let (mut connection, since) = match self.resting(place).await {
+            Some(resting) => resting,
             None => {
                 progress.opened = true;
-                let stream = self.connect(&place.0).await?;
-                (Framed::new(stream, AnswerCodec::new(MOST_BODY)), self.clock.now())
+                (self.open(place).await?, self.clock.now())
             }
         };
+        progress.attribution = Attribution::after(connection.calls);
+        (progress.connection, progress.calls_before) = (Some(connection.number), connection.calls);
+        progress.rested = self.clock.now() - since;
         let withdrawn = async {
             match call {
                 Some(call) => self.clearance.withdrawn(call).await,
@@ -128,25 +328,36 @@
         // Guards against what happened while the connection came up, or a wait for one: a wait that another answer
         // told, a drain, the end of this process, of the message's time or of its window.
         if withdrawn.as_mut().now_or_never().is_some() {
-            self.keep(place, connection, since);
+            self.keep(place, connection, (since, Some(since)));
             return Err(Outcome::Skipped);
         }
-        if connection.feed(&request()).await.is_err() {
+        connection.calls += 1;
+        if connection.framed.feed(&request()).await.is_err() {
             return Err(Outcome::ConnectFailed);
         }
         // The same while the other side does not read: a request counts from its last byte.
         let flushed = tokio::select! {
             biased;
             () = &mut withdrawn => Err(Outcome::Skipped),
-            flushed = connection.flush() => flushed.map_err(|_| Outcome::ConnectFailed),
+            flushed = connection.framed.flush() => flushed.map_err(|_| Outcome::ConnectFailed),
         };
         match flushed {
-            Err(outcome) if !connection.write_buffer().is_empty() => return Err(outcome),
+            Err(outcome) if !connection.framed.write_buffer().is_empty() => return Err(outcome),
             _ => progress.written = true,
         }
+        let sent = self.clock.now();
+        let answer = self.read(&mut connection, progress).await?;
+        let watched_until = call.map_or(Micros::MAX, |call| call.deadline.saturating_add(PAST_DEADLINE));
+        let (place, at) = (place.clone(), self.clock.now());
+        Ok(Answered { place, connection, effect, sent, at, answer, watched_until })
+    }
+
+    /// Reads a whole answer.
+    async fn read(&self, connection: &mut Connection, progress: &mut Progress) -> Result<Message, Outcome> {
+        let framed = &mut connection.framed;
         let mut by = Micros::MAX;
         loop {
-            match tokio::time::timeout_at(self.clock.instant(by), connection.next()).await {
+            match tokio::time::timeout_at(self.clock.instant(by), framed.next()).await {
                 Ok(Some(Ok(Part::First(status)))) => {
                     progress.first = Some(status);
                     if progress.first_tells {
@@ -157,16 +368,11 @@
                 Ok(Some(Ok(Part::Head(head)))) => {
                     progress.wait = full(&head).filter(|_| matches!(progress.first, Some(429 | 503)));
                 }
-                Ok(Some(Ok(Part::Whole(answer)))) => {
-                    if answer.keep_alive && connection.read_buffer().is_empty() {
-                        self.keep(place, connection, self.clock.now());
-                    }
-                    return Ok(answer);
-                }
+                Ok(Some(Ok(Part::Whole(answer)))) => return Ok(answer),
                 // Nothing of an answer came.
                 Ok(None) => return Err(Outcome::Reset),
                 Ok(Some(Err(HttpError::Io(_))))
-                    if progress.first.is_none() && connection.read_buffer().is_empty() =>
+                    if progress.first.is_none() && framed.read_buffer().is_empty() =>
                 {
                     return Err(Outcome::Reset);
                 }
@@ -175,6 +381,15 @@
         }
     }
 
+    /// A new connection, on which nothing lies yet.
+    async fn open(&self, place: &Place) -> Result<Connection, Outcome> {
+        let stream = self.connect(&place.0).await?;
+        let number = self.watch.opened.fetch_add(1, Ordering::Relaxed);
+        ConnectionCounts::add(&self.watch.counts.opened);
+        let framed = Framed::new(stream, AnswerCodec::new(MOST_BODY));
+        Ok(Connection { framed, number, calls: 0, closing: false, settling: Settling::default() })
+    }
+
     /// Makes a connection. A failure of this machine's own is tried again; where it lasts, nothing was sent and nothing
     /// learned of the other side.
     async fn connect(&self, address: &str) -> Result<Stream, Outcome> {
@@ -205,61 +420,55 @@
         }
     }
 
-    /// An idle connection that the other side has not ended and on which nothing is left to read, and since when it
-    /// is idle.
-    async fn idle(&self, place: &Place) -> Option<(Connection, Micros)> {
+    /// A connection that may carry one more call, that the other side has not ended and on which nothing is left to
+    /// read, and since when it rests.
+    async fn resting(&self, place: &Place) -> Option<(Connection, Micros)> {
         loop {
-            let (connection, since) = {
-                let mut pool = self.pool.lock().unwrap_or_else(PoisonError::into_inner);
-                let taken = pool.idle.get_mut(place)?.pop()?;
-                pool.count -= 1;
-                taken
-            };
-            tokio::time::sleep_until(self.clock.instant(since + SETTLES)).await;
+            let now = self.clock.now();
+            let withheld = self.watch.policy().withholds(place, now);
+            let taken = self.pool().take(place, now)?;
+            if withheld {
+                ConnectionCounts::add(&self.watch.counts.withheld);
+                return None;
+            }
+            let Some((connection, since)) = taken.connection().await else { continue };
             // Guards against a call on a connection that the endpoint has closed, which would end as a reset,
             // and against taking what was left on it for the call's answer.
-            if self.clock.now() - since < self.idle_for && quiet(connection.get_ref()) {
+            if self.clock.now() - since < self.idle_for && connection.quiet() {
                 return Some((connection, since));
             }
         }
     }
 
-    fn keep(&self, place: &Place, connection: Connection, since: Micros) {
-        let mut pool = self.pool.lock().unwrap_or_else(PoisonError::into_inner);
-        if pool.count >= self.most_idle.load(Ordering::Relaxed) {
-            return;
-        }
-        let idle = pool.idle.entry(place.clone()).or_default();
-        if idle.len() < MOST_IDLE {
-            idle.push((connection, since));
-            pool.count += 1;
-        }
+    fn pool(&self) -> MutexGuard<'_, Pool<Place>> {
+        self.pool.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Keeps a connection that rests since then, and from when on it may carry a call.
+    fn keep(&self, place: &Place, connection: Connection, times: (Micros, Option<Micros>)) {
+        let (watch, broken_place) = (self.watch.clone(), place.clone());
+        let broken = move |connection: &Connection, how| watch.broken(&broken_place, connection, how);
+        let most = self.most_idle.load(Ordering::Relaxed);
+        self.pool().keep(self.clock, place, connection, times, most, broken);
     }
 
     /// Keeps so many idle connections from now on; closes all where that is none.
     pub fn keep_at_most(&self, most: usize) {
-        self.most_idle.store(most, Ordering::Relaxed);
+        self.most_idle.store(most - most / SETTLING_PART, Ordering::Relaxed);
         if most == 0 {
-            *self.pool.lock().unwrap_or_else(PoisonError::into_inner) = Pool::default();
+            *self.pool() = Pool::default();
         }
     }
 
     /// Closes the idle connections to an endpoint.
     pub fn close(&self, target: TargetId) {
-        let mut pool = self.pool.lock().unwrap_or_else(PoisonError::into_inner);
-        pool.idle.retain(|(_, leads_to), _| *leads_to != Some(target));
-        pool.count = pool.idle.values().map(Vec::len).sum();
+        self.pool().retain(|(_, leads_to), _| *leads_to != Some(target));
     }
 
     /// Closes the connections that have been idle for too long; tells when to look again.
     pub fn retire(&self) -> Micros {
-        let mut pool = self.pool.lock().unwrap_or_else(PoisonError::into_inner);
         let (now, idle_for) = (self.clock.now(), self.idle_for);
-        pool.idle.retain(|_, idle| {
-            idle.retain(|(_, since)| now - since < idle_for);
-            !idle.is_empty()
-        });
-        pool.count = pool.idle.values().map(Vec::len).sum();
+        self.pool().retain(|_, since| now - since < idle_for);
         now + (idle_for / RETIRE_PART).max(1000)
     }
 }
--- a/src/net/door.rs
+++ b/src/net/door.rs
@@ -7,6 +7,7 @@
 use std::fs::File;
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 
 use futures_util::{SinkExt, StreamExt};
 use serde_json::{Value, json};
@@ -20,7 +21,7 @@
 use super::stream::Stream;
 use crate::exchange::Clock;
 use crate::interface::Micros;
-use crate::standing::{Standing, StoreHealth, StoreOutage};
+use crate::standing::{ConnectionCounts, Standing, StoreHealth, StoreOutage};
 
 /// Callers at a time; the oldest that is not done makes room for the next.
 const CALLERS: usize = 24;
@@ -126,6 +127,13 @@
     }
 }
 
+/// The connections to endpoints, as operators are shown them.
+fn connections(counts: &ConnectionCounts) -> Value {
+    let ConnectionCounts { opened, surplus, doubtful, withheld } = counts;
+    let read = |count: &AtomicU64| count.load(Ordering::Relaxed);
+    json!({"opened": read(opened), "surplus": read(surplus), "doubtful": read(doubtful), "withheld": read(withheld)})
+}
+
 /// What a call is answered.
 fn answer(request: &Message, standing: &Standing) -> Message {
     let Start::Request(method, path) = &request.start else { return Message::response(400, "no request") };
@@ -150,6 +158,7 @@
         "since": standing.since() as f64 / 1e6});
     if let Some(fields) = body.as_object_mut() {
         fields.insert("store".into(), store(&standing.store()));
+        fields.insert("connections".into(), connections(standing.connections()));
     }
     let why = standing.why();
     if !why.is_empty()
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,6 +8,7 @@
 pub mod http;
 pub mod inbound;
 pub mod outbound;
+pub mod resting;
 pub mod stream;
 
 use std::future::Future;
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -11,9 +11,10 @@
 use super::connections::{Connections, Progress, full};
 use super::http::{Message, Start};
 use super::{Ended, Protocol};
-use crate::exchange::{CallEnd, Clock, Exchange, OutboundCall};
+use crate::exchange::{Answered, CallEnd, Clock, Exchange, OutboundCall};
 use crate::input::Input;
-use crate::interface::{Outcome, Report, TargetId};
+use crate::interface::{Micros, Outcome, Report, TargetId};
+use crate::reuse::Attribution;
 use crate::runtime::Caller;
 
 /// A report with a greater figure makes no sense.
@@ -39,12 +40,10 @@
 
     async fn run(self, call: OutboundCall, called_off: oneshot::Receiver<()>) {
         let began = self.clock.now();
-        let deadline = self.clock.instant(call.deadline);
         let mut progress = Progress::default();
         let (outcome, over, report) = tokio::select! {
-            end = self.attempt(&call, &mut progress) => end,
+            end = self.attempt(&call, began, &mut progress) => end,
             Ok(()) = called_off => (Outcome::Cancelled, false, Report::default()),
-            () = tokio::time::sleep_until(deadline) => (Outcome::TimedOut, false, Report::default()),
         };
         let outcome = match outcome {
             _ if progress.delivered() => Outcome::Ok,
@@ -68,18 +67,26 @@
             endpoint = &*call.address,
             ?outcome,
             began,
+            connection = progress.connection,
+            calls_before = progress.calls_before,
+            rested = progress.rested,
+            attribution = ?progress.attribution,
             left = report.left,
             limit = report.limit,
             "attempt ended"
         );
+        let answered = progress.answered;
         let evidence = progress.evidence();
-        let end = CallEnd { id, attempt, target, outcome, over, began, report, evidence };
+        let end = CallEnd { id, attempt, target, outcome, over, began, answered, report, evidence };
         let _ = self.inputs.send(Input::Ended(end)).await;
     }
 
-    async fn attempt(&self, call: &OutboundCall, progress: &mut Progress) -> Ended {
+    async fn attempt(&self, call: &OutboundCall, began: Micros, progress: &mut Progress) -> Ended {
         if let Some(beside) = self.beside.as_ref().filter(|beside| beside.serves(call.exchange.destination)) {
-            return beside.attempt(call, progress).await;
+            let attempt = beside.attempt(call, progress);
+            let by = self.clock.instant(call.deadline);
+            let timed_out = (Outcome::TimedOut, false, Report::default());
+            return tokio::time::timeout_at(by, attempt).await.unwrap_or(timed_out);
         }
         // One message a call: a first line with 200 says that it was delivered, whatever follows.
         progress.first_tells = true;
@@ -94,11 +101,41 @@
             request
         };
         let place = (call.address.clone(), Some(call.target));
-        match self.connections.ask(&place, Some(call), request, progress).await {
-            Ok(answer) => read(&answer, progress.opened),
+        let answered = match self.connections.call(&place, Some(call), request, progress).await {
+            Ok(answered) => answered,
+            Err(outcome) => return (outcome, false, Report::default()),
+        };
+        let (heard, opened) = (answered.at(), progress.opened);
+        let certain = progress.attribution == Attribution::Certain;
+        let released = match self.connections.release(&answered, progress) {
+            Some(released) => {
+                self.answered(call, answered.answer(), (began, heard)).await;
+                Some(released)
+            }
+            None => None,
+        };
+        let settled = self.connections.settle(answered, progress).await;
+        drop(released);
+        match settled {
+            Ok(answer) => {
+                let age = if certain { 0 } else { self.clock.now() - heard };
+                progress.wait = progress.wait.map(|wait| (wait - age).max(0));
+                read(&answer, opened, age)
+            }
             Err(outcome) => (outcome, false, Report::default()),
         }
     }
+
+    /// Tells what an answer means that is still to settle, so that the call holds no place at its destination meanwhile.
+    async fn answered(&self, call: &OutboundCall, answer: &Message, (began, heard): (Micros, Micros)) {
+        let (outcome, _, report) = read(answer, false, 0);
+        if let Outcome::Full(Some(wait)) = outcome {
+            self.connections.clearance().wait(call.lane, heard + wait);
+        }
+        let (id, attempt, target) = (call.exchange.id.clone(), call.attempt, call.target);
+        let answered = Answered { id, attempt, target, outcome, began, at: heard, report };
+        let _ = self.inputs.send(Input::Answered(answered)).await;
+    }
 }
 
 impl Caller for Outbound {
@@ -121,10 +158,10 @@
     }
 }
 
-/// What an answer means; `opened` where it is the first on its connection.
-fn read(answer: &Message, opened: bool) -> (Outcome, bool, Report) {
+/// What an answer means that came so long ago; `opened` where it is the first on its connection.
+fn read(answer: &Message, opened: bool, age: Micros) -> (Outcome, bool, Report) {
     let Start::Response(status) = answer.start else { return (Outcome::Reset, false, Report::default()) };
-    let wait = full(answer);
+    let wait = full(answer).map(|wait| (wait - age).max(0));
     let outcome = match status {
         200 => Outcome::Ok,
         429 => Outcome::Full(wait),
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -170,7 +170,10 @@
 
     /// Takes one event and adds the actions that it calls for.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
-        let answered = if let Event::Done(done) = &event { Some(done.target) } else { None };
+        let answered = match &event {
+            Event::Done(done) | Event::Answered(done) => Some(done.target),
+            _ => None,
+        };
         match event {
             Event::List(form, entries) => self.list(now, form, &entries),
             Event::Arrival(arrival) => self.arrive(now, arrival, None, actions),
@@ -180,6 +183,7 @@
             Event::Stop(until) => self.stop(until),
             Event::Retuned(settings) => self.retune(now, *settings, actions),
             Event::Done(done) => self.done(now, &done, actions),
+            Event::Answered(done) => self.answered(now, &done),
             Event::Gone(id) => self.gone(id),
             Event::Told(told) => self.told(now, &told),
             Event::Permitted { destination, permits, few } => self.permitted(now, destination, permits, few),
@@ -542,36 +546,57 @@
 
     // ---- outcomes ----
 
-    fn done(&mut self, now: Micros, done: &Done, actions: &mut Vec<Action>) {
-        let Done { id, target, outcome, over, .. } = *done;
-        let Some(message) = self.messages.get_mut(&id) else { return };
-        let Some(call_id) = message.out.take() else { return };
-        let over = over || message.over;
-        let Some(call) = self.calls.get_mut(&call_id) else { return };
+    /// Frees what a call takes of its destination, though it is still to settle what its answer means for the message.
+    fn answered(&mut self, now: Micros, done: &Done) {
+        let Some(message) = self.messages.get(&done.id).filter(|message| message.settling.is_none()) else {
+            return;
+        };
+        let Some(call_id) = message.out else { return };
+        if let Some(attempt) = self.answer_of(now, call_id, done)
+            && let Some(message) = self.messages.get_mut(&done.id)
+        {
+            message.settling = Some(attempt);
+        }
+    }
+
+    /// Takes what an outcome tells of its call; returns the call's start and zone.
+    fn answer_of(&mut self, now: Micros, call_id: u64, done: &Done) -> Option<(Micros, usize)> {
+        let call = self.calls.get_mut(&call_id)?;
         let begun = call.begun;
         call.left -= 1;
         // A wait binds from the outcome that tells it, also where other messages of the call are still out.
-        let Some(endpoint) = self.endpoints.get(&target) else { return };
+        let zone = self.endpoints.get(&done.target)?.zone;
         if let Some(wait) = done.told_wait() {
             let lane = &mut self.lanes[call.lane];
             lane.wait_until = lane.wait_until.max(Some(now + wait));
         }
-        if outcome.may_have_run() {
-            message.risk = message.risk.or(Some((begun, endpoint.zone)));
-            let rest = if outcome == Outcome::Error { 0 } else { self.settings.rules.settle };
-            if let Some(line) = message.key.as_ref().and_then(|key| self.keys.get_mut(key)) {
-                line.rest_until = now + rest;
-            }
-        }
         // Its messages share one fate, but one that was not sent at all tells nothing.
-        if outcome != Outcome::Skipped {
-            call.outcome = Some(outcome);
+        if done.outcome != Outcome::Skipped {
+            call.outcome = Some(done.outcome);
         }
         if call.left == 0
             && let Some(call) = self.calls.remove(&call_id)
         {
             self.learn(now, done, call_id, &call);
         }
+        Some((begun, zone))
+    }
+
+    fn done(&mut self, now: Micros, done: &Done, actions: &mut Vec<Action>) {
+        let Done { id, outcome, over, .. } = *done;
+        let Some(message) = self.messages.get_mut(&id) else { return };
+        let Some(call_id) = message.out.take() else { return };
+        let over = over || message.over;
+        let settled = message.settling.take();
+        let Some((begun, zone)) = settled.or_else(|| self.answer_of(now, call_id, done)) else { return };
+        let Some(message) = self.messages.get_mut(&id) else { return };
+        if outcome.may_have_run() {
+            message.risk = message.risk.or(Some((begun, zone)));
+            let rest = if outcome == Outcome::Error { 0 } else { self.settings.rules.settle };
+            if let Some(line) = message.key.as_ref().and_then(|key| self.keys.get_mut(key)) {
+                line.rest_until = now + rest;
+            }
+        }
         let Some(message) = self.messages.get(&id) else { return };
         if over {
             self.forget(id);
--- a/src/runtime/actions.rs
+++ b/src/runtime/actions.rs
@@ -48,6 +48,8 @@
         let Some(lane) = self.relay.lane(target) else { return };
         let Some(held) = self.held.get_mut(&id) else { return };
         let Some(address) = self.addresses.get(&target).cloned() else { return };
+        let effect =
+            self.classes.terms(held.class).map_or(crate::interface::Effect::Unsafe, |terms| terms.effect);
         let attempt = held.attempts;
         let exchange = held.exchange.clone();
         held.attempts += 1;
@@ -66,7 +68,7 @@
             self.records.push(Record::Started { id: exchange.id.clone(), attempt, begun });
         }
         debug!(message = exchange.id, attempt, endpoint = &*address, start_by, deadline, "attempt decided");
-        let call = OutboundCall { exchange, attempt, target, address, lane, start_by, deadline };
+        let call = OutboundCall { exchange, attempt, target, address, lane, effect, start_by, deadline };
         self.effects.push(Effect::Call(id, call));
     }
 }
--- a/src/runtime/handover.rs
+++ b/src/runtime/handover.rs
@@ -112,7 +112,7 @@
         let sent = out.as_ref().map(|out| (out.target, out.began));
         let (call, in_flight) = out.map(|out| self.adopt_call(out)).unzip();
         let (exchange, trace) = (Arc::new(exchange), stored.trace);
-        let held = Held { exchange, attempts, call, out: sent, class, withdrawn, trace };
+        let held = Held { exchange, attempts, call, out: sent, answered: false, class, withdrawn, trace };
         self.held.insert(message, held);
         in_flight
     }
--- a/src/runtime/held.rs
+++ b/src/runtime/held.rs
@@ -25,6 +25,8 @@
     pub(super) call: Option<oneshot::Sender<()>>,
     /// Target and start time of the call in flight.
     pub(super) out: Option<(TargetId, Micros)>,
+    /// The call in flight was answered, and the answer is still to settle.
+    pub(super) answered: bool,
     /// Number of the message's class.
     pub(super) class: usize,
     /// Whether its client left before it heard that the message was accepted.
--- a/src/runtime/intake.rs
+++ b/src/runtime/intake.rs
@@ -109,7 +109,16 @@
         self.classes.hold(class);
         self.ids.insert(exchange.id.clone(), id);
         self.held_bytes += exchange.body.len();
-        let held = Held { exchange, attempts, call: None, out: None, class, withdrawn: false, trace };
+        let held = Held {
+            exchange,
+            attempts,
+            call: None,
+            out: None,
+            answered: false,
+            class,
+            withdrawn: false,
+            trace,
+        };
         self.held.insert(id, held);
         Arrival { id, class, tenant, key: None, due, destination: DestinationId(destination) }
     }
--- a/src/runtime/outage.rs
+++ b/src/runtime/outage.rs
@@ -196,7 +196,17 @@
         self.out += 1;
         let (began, report, evidence) = (self.clock.now(), Report::default(), Evidence::default());
         let outcome = Outcome::Skipped;
-        let end = CallEnd { id: id.clone(), attempt, target, outcome, over: false, began, report, evidence };
+        let end = CallEnd {
+            id: id.clone(),
+            attempt,
+            target,
+            outcome,
+            over: false,
+            began,
+            answered: None,
+            report,
+            evidence,
+        };
         self.call_ended(end);
         self.records.retain(|record| match record {
             Record::Started { id: other, attempt: number, .. }
--- a/src/runtime/outcomes.rs
+++ b/src/runtime/outcomes.rs
@@ -3,7 +3,7 @@
 use record::model::{Effect as RecordedEffect, Entry, Late, Outcome as RecordedOutcome, Trace};
 use tracing::debug;
 
-use crate::exchange::{CallEnd, Exchange, Notice};
+use crate::exchange::{Answered, CallEnd, Exchange, Notice};
 use crate::fleet;
 use crate::interface::*;
 use crate::recording::heard;
@@ -20,8 +20,10 @@
         let Some(id) = self.ids.get(&end.id).copied() else { return self.ended_too_late(end, now) };
         let Some(held) = self.held.get_mut(&id) else { return };
         (held.call, held.out) = (None, None);
-        if let Some(fleet) = &self.fleet {
-            let _ = fleet.send(fleet::ended(held.exchange.destination, &end, now));
+        // The fleet has heard of an answer when it came.
+        if let Some(fleet) = self.fleet.as_ref().filter(|_| !std::mem::take(&mut held.answered)) {
+            let (destination, times) = (held.exchange.destination, (end.began, now));
+            let _ = fleet.send(fleet::ended(destination, end.outcome, times, &end.report));
         }
         let told = held.trace.as_mut().map(|trace| {
             let told = heard(now, end.outcome, end.evidence);
@@ -39,13 +41,26 @@
             let (id, attempt) = (end.id, end.attempt);
             self.records.push(Record::Outcome { id, attempt, may_have_run, heard: told });
         }
-        let took = self.clock.now() - end.began;
+        let took = end.answered.unwrap_or_else(|| self.clock.now()) - end.began;
         let CallEnd { attempt, target, outcome, report, .. } = end;
         let done = Done { id, attempt, target, outcome, took, over, report };
         self.hold_back(&done, now);
         self.handle(Event::Done(done));
     }
 
+    /// A call was answered; what that means for its message is told by its end.
+    pub(super) fn call_answered(&mut self, answered: Answered) {
+        let Some(id) = self.ids.get(&answered.id).copied() else { return };
+        let Some(held) = self.held.get_mut(&id) else { return };
+        held.answered = true;
+        let destination = held.exchange.destination;
+        let Answered { attempt, target, outcome, began, at, report, .. } = answered;
+        self.tell_fleet(fleet::ended(destination, outcome, (began, at), &report));
+        let done = Done { id, attempt, target, outcome, took: at - began, over: false, report };
+        self.hold_back(&done, self.clock.now());
+        self.handle(Event::Answered(done));
+    }
+
     /// A call ended after its message did. It is worth recording that it took effect all the same.
     fn ended_too_late(&mut self, end: CallEnd, now: Micros) {
         if end.outcome == Outcome::Ok {
--- a/src/standing.rs
+++ b/src/standing.rs
@@ -2,9 +2,8 @@
 //! operators had it emptied, and how much it holds. Owns which order of the operators is taken when. It must never
 //! do I/O, or make the reader of a word wait for its writer.
 
-use std::sync::Mutex;
-use std::sync::PoisonError;
-use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU8, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicI64, AtomicU8, AtomicU64, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use tokio::sync::watch;
 
@@ -55,6 +54,26 @@
     pub outages: u64,
 }
 
+/// What became of the connections to endpoints since the process started.
+#[derive(Debug, Default)]
+pub struct ConnectionCounts {
+    /// Connections that were made.
+    pub opened: AtomicU64,
+    /// Connections closed as bytes came on them that nobody had asked for.
+    pub surplus: AtomicU64,
+    /// Answers that may have belonged to another call.
+    pub doubtful: AtomicU64,
+    /// Calls that did not take a connection at rest, as an answer on it would not have been certain enough.
+    pub withheld: AtomicU64,
+}
+
+impl ConnectionCounts {
+    /// Counts one more.
+    pub fn add(count: &AtomicU64) {
+        count.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
 /// A span in which the store fails.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoreOutage {
@@ -77,6 +96,7 @@
     out: AtomicUsize,
     why: Mutex<String>,
     store: Mutex<StoreHealth>,
+    connections: Arc<ConnectionCounts>,
     leaving: watch::Sender<Leaving>,
 }
 
@@ -92,6 +112,7 @@
             out: AtomicUsize::new(0),
             why: Mutex::default(),
             store: Mutex::default(),
+            connections: Arc::default(),
             leaving: watch::Sender::new(Leaving::No),
         }
     }
@@ -161,6 +182,11 @@
         self.store.lock().unwrap_or_else(PoisonError::into_inner).outage = None;
     }
 
+    /// What became of the connections to endpoints.
+    pub fn connections(&self) -> &Arc<ConnectionCounts> {
+        &self.connections
+    }
+
     /// What keeps it from the next phase; empty where nothing does.
     pub fn why(&self) -> String {
         self.why.lock().unwrap_or_else(PoisonError::into_inner).clone()
--- a/src/state.rs
+++ b/src/state.rs
@@ -135,6 +135,9 @@
     #[serde(default)]
     pub(crate) untried: bool,
     pub(crate) out: Option<u64>,
+    /// Start and zone of the attempt that is out, once it was answered and the answer is still to settle.
+    #[serde(default)]
+    pub(crate) settling: Option<(Micros, usize)>,
     /// Start and zone of the earliest attempt that may have run.
     pub(crate) risk: Option<(Micros, usize)>,
     /// Withdrawn or served while out: only its outcome is awaited.
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -17,11 +17,12 @@
 use tulipfall::config::Config;
 use tulipfall::exchange::{Answer, CallEnd, Clock, Exchange, OutboundCall};
 use tulipfall::input::Input;
-use tulipfall::interface::{Micros, Outcome, TargetId};
+use tulipfall::interface::{Effect, Micros, Outcome, TargetId};
 use tulipfall::net::connections::Connections;
 use tulipfall::net::http::Budget;
 use tulipfall::net::inbound::{Front, Inbound, Vocabulary, serve};
 use tulipfall::net::outbound::Outbound;
+use tulipfall::reuse::{MIN_QUIET, REST};
 use tulipfall::rules::Relay;
 use tulipfall::runtime::{Caller, Runtime};
 use tulipfall::standing::{Phase, Standing};
@@ -97,6 +98,7 @@
             target: TargetId(7),
             address,
             lane: LANE,
+            effect: Effect::Unsafe,
             start_by,
             deadline,
         }
@@ -348,6 +350,69 @@
     }
 }
 
+/// A second call on the connection of a first one, as far as the endpoint has read it.
+async fn second_call(side: &mut Side, endpoint: &Endpoint) -> (TcpStream, oneshot::Sender<()>) {
+    let mut connection = side.served(endpoint).await;
+    tokio::time::sleep(Duration::from_micros(2 * REST as u64)).await;
+    let handle = side.outbound.call(side.call("second", endpoint));
+    assert!(request(&mut connection).await.contains("X-Correlation-Id: second"), "on the same connection");
+    (connection, handle)
+}
+
+/// The outcome of an attempt, and what was told of it before.
+async fn outcome(side: &mut Side) -> (Option<Outcome>, Outcome) {
+    let mut answered = None;
+    loop {
+        match soon(side.inputs.recv()).await {
+            Some(Input::Answered(answer)) => answered = Some(answer.outcome),
+            Some(Input::Ended(end)) => return (answered, end.outcome),
+            _ => panic!("expected the end of a call"),
+        }
+    }
+}
+
+const DELIVERED: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+const FULL: &[u8] = b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+
+#[tokio::test]
+async fn an_answer_on_a_used_connection_counts_once_nothing_follows_it() {
+    for (bytes, expected) in [(DELIVERED, Outcome::Ok), (FULL, Outcome::Full(None))] {
+        let (mut side, endpoint) = (Side::new(), Endpoint::new());
+        let (mut connection, _handle) = second_call(&mut side, &endpoint).await;
+        let began = side.clock.now();
+        connection.write_all(bytes).await.expect("written");
+        assert_eq!(outcome(&mut side).await, (Some(expected), expected));
+        assert!(side.clock.now() - began >= MIN_QUIET, "it was watched");
+    }
+}
+
+#[tokio::test]
+async fn an_answer_that_is_followed_by_another_one_may_be_a_copy_and_proves_nothing() {
+    for (first, then) in [(DELIVERED, FULL), (FULL, DELIVERED), (DELIVERED, DELIVERED), (FULL, b"HT")] {
+        let (mut side, endpoint) = (Side::new(), Endpoint::new());
+        let (mut connection, _handle) = second_call(&mut side, &endpoint).await;
+        connection.write_all(first).await.expect("written");
+        tokio::time::sleep(Duration::from_micros(MIN_QUIET as u64 / 5)).await;
+        connection.write_all(then).await.expect("written");
+        let (_, end) = outcome(&mut side).await;
+        assert_eq!(end, Outcome::Spoilt);
+        assert!(end.may_have_run());
+    }
+}
+
+#[tokio::test]
+async fn an_endpoint_that_wrote_unasked_gets_a_new_connection_for_each_call() {
+    let (mut side, endpoint) = (Side::new(), Endpoint::new());
+    let mut first = side.served(&endpoint).await;
+    first.write_all(DELIVERED).await.expect("written");
+    let mut rest = Vec::new();
+    let _ = soon(first.read_to_end(&mut rest)).await;
+    let second = side.served(&endpoint).await;
+    tokio::time::sleep(Duration::from_micros(2 * REST as u64)).await;
+    side.served(&endpoint).await;
+    drop(second);
+}
+
 #[tokio::test]
 async fn a_reset_after_the_last_byte_may_have_run_and_is_never_sent_again_by_itself() {
     let (mut side, endpoint) = (Side::new(), Endpoint::new());
