--- a/tests/link.rs
+++ b/tests/link.rs
@@ -81,7 +81,17 @@
 fn end_of_call(outcome: Outcome, began: i64) -> CallEnd {
     let report = Report { left: None, limit: Some(40.0), wait: None };
     let (id, evidence) = ("m".into(), Evidence::default());
-    CallEnd { id, attempt: 0, target: TargetId(1), outcome, over: false, began, report, evidence }
+    CallEnd {
+        id,
+        attempt: 0,
+        target: TargetId(1),
+        outcome,
+        over: false,
+        began,
+        answered: None,
+        report,
+        evidence,
+    }
 }
 
 #[tokio::test]
@@ -109,7 +119,10 @@
                 assert_eq!(had, 2, "destination {destination}");
                 relay.tell.send(ToFleet::Want(destination, vec![])).expect("it runs");
                 let end = end_of_call(Outcome::Ok, clock.now());
-                relay.tell.send(ended(destination, &end, clock.now())).expect("it runs");
+                relay
+                    .tell
+                    .send(ended(destination, end.outcome, (end.began, clock.now()), &end.report))
+                    .expect("it runs");
             }
         }
     }
@@ -125,7 +138,7 @@
     first.tell.send(ToFleet::Listed(vec![(5, 40.0)])).expect("it runs");
     for _ in 0..4 {
         let end = end_of_call(Outcome::ConnectFailed, clock.now());
-        first.tell.send(ended(5, &end, clock.now())).expect("it runs");
+        first.tell.send(ended(5, end.outcome, (end.began, clock.now()), &end.report)).expect("it runs");
     }
     second.tell.send(ToFleet::Want(5, vec![(1000, 1)])).expect("it runs");
     let (mut permitted, mut shut) = (false, false);
--- a/tests/outage.rs
+++ b/tests/outage.rs
@@ -163,6 +163,7 @@
             outcome,
             over: false,
             began: self.clock.now(),
+            answered: None,
             report: Report::default(),
             evidence: Evidence::default(),
         };
