--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -387,7 +387,18 @@
         let number = self.watch.opened.fetch_add(1, Ordering::Relaxed);
         ConnectionCounts::add(&self.watch.counts.opened);
         let framed = Framed::new(stream, AnswerCodec::new(MOST_BODY));
-        Ok(Connection { framed, number, calls: 0, closing: false, settling: Settling::default() })
+        let connection =
+            Connection { framed, number, calls: 0, closing: false, settling: Settling::default() };
+        // Guards against taking what came before a request for its answer.
+        if !connection.quiet() {
+            debug!(
+                endpoint = &*place.0,
+                connection = number,
+                "closed before its first call, as it was not quiet"
+            );
+            return Err(Outcome::ConnectFailed);
+        }
+        Ok(connection)
     }
 
     /// Makes a connection. A failure of this machine's own is tried again; where it lasts, nothing was sent and nothing
