Let answers settle while the next call is out, and before a refusal closes their connection

Cause: a connection carries the next call 50 ms after an answer, before that has settled; a call that then hung or was refused closed the connection, and closing left the answers before in doubt. Change: while nothing comes, time counts for them though a call is out, as an own answer would have come first; a refusal waits for them instead of closing at once. The model of tests/reuse.rs plays both, and its properties hold.

--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -277,8 +277,9 @@
                 self.watch.policy().answered(&place, at - sent, at);
                 None
             }
-            (_, Provision::Close) => return Ok(answer),
-            (_, Provision::Settle) => Some(connection.settling.add(at, quiet_until.min(watched_until))),
+            // Closed before earlier answers have settled, it would leave them in doubt.
+            (_, Provision::Close) if connection.settling.is_empty() => return Ok(answer),
+            _ => Some(connection.settling.add(at, quiet_until.min(watched_until))),
         };
         self.rest(&place, connection, at, may_carry_more(kind));
         let Some(settled) = settled else { return Ok(answer) };
@@ -352,8 +353,21 @@
         Ok(Answered { place, connection, effect, sent, at, answer, watched_until })
     }
 
+    /// Comes once something comes, or no earlier answer waits to settle. Those count that nothing followed in their time, though
+    /// another call is out by now: what they may be copies for would have come first.
+    async fn first_bytes(&self, connection: &mut Connection) {
+        while let Some(due) = connection.settling.due() {
+            let broken = tokio::time::timeout_at(self.clock.instant(due), connection.broken()).await;
+            if broken.is_ok() {
+                return;
+            }
+            connection.settling.settle();
+        }
+    }
+
     /// Reads a whole answer.
     async fn read(&self, connection: &mut Connection, progress: &mut Progress) -> Result<Message, Outcome> {
+        self.first_bytes(connection).await;
         let framed = &mut connection.framed;
         let mut by = Micros::MAX;
         loop {
--- a/src/net/resting.rs
+++ b/src/net/resting.rs
@@ -56,12 +56,18 @@
         answer
     }
 
-    fn is_empty(&self) -> bool {
+    /// Whether no answer waits.
+    pub fn is_empty(&self) -> bool {
         self.waiting.is_empty()
     }
 
+    /// When those that wait count, if the connection stays quiet.
+    pub fn due(&self) -> Option<Micros> {
+        (!self.is_empty()).then_some(self.until)
+    }
+
     /// The connection has stayed quiet.
-    fn settle(&mut self) {
+    pub fn settle(&mut self) {
         for settled in self.waiting.drain(..) {
             let _ = settled.send(());
         }
--- a/tests/reuse.rs
+++ b/tests/reuse.rs
@@ -52,7 +52,12 @@
         if self.coming.iter().any(|(at, _)| *at <= until) {
             return self.close();
         }
-        if self.until <= until && !self.unsettled.is_empty() {
+        self.settle(until);
+    }
+
+    /// What is due by then settles, as nothing came.
+    fn settle(&mut self, by: Micros) {
+        if self.until <= by && !self.unsettled.is_empty() {
             self.unsettled.clear();
             self.outlasted |= self.own.iter().any(|at| *at > self.until);
         }
@@ -82,10 +87,12 @@
         played.coming.sort_by_key(|(at, _)| *at);
         let (at, kind) = played.coming.remove(0);
         now = at;
+        // Nothing came until then, though the call was out.
+        played.settle(at - 1);
         played.verdicts.push(Verdict::Taken(kind));
         if Attribution::after(carried) == Attribution::Certain {
             policy.answered(&0, at - sent, at);
-        } else if provision(call.effect, kind) == Provision::Close {
+        } else if provision(call.effect, kind) == Provision::Close && played.unsettled.is_empty() {
             played.close();
         } else {
             played.until = played.until.max(policy.quiet_until(&0, sent, at));
