Heed a told wait when it is heard, though its answer is still to settle

Cause: a refusal of a repeatable message that now waited for earlier answers told its wait only once it had settled; the same held where no place was left to settle, and over AS2. Change: Connections::call sets the wait as the answer's head is there.

--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -129,6 +129,12 @@
         self.at
     }
 
+    /// Whether its connection is closed at once, if it may be a copy. Closed before earlier answers have settled, it would leave
+    /// them in doubt.
+    fn closes_at_once(&self) -> bool {
+        provision(self.effect, self.kind()) == Provision::Close && self.connection.settling.is_empty()
+    }
+
     fn kind(&self) -> AnswerKind {
         match self.answer.start {
             Start::Response(200..=299 | 410) => AnswerKind::EndsMessage,
@@ -249,14 +255,17 @@
         let answered = tokio::time::timeout_at(self.clock.instant(deadline), exchange).await;
         let answered = answered.unwrap_or(Err(Outcome::TimedOut))?;
         progress.answered = Some(answered.at);
+        // It binds from now on, however long the answer takes to settle.
+        if let (Some(wait), Some(call)) = (progress.wait, call) {
+            self.clearance.wait(call.lane, answered.at + wait);
+        }
         Ok(answered)
     }
 
     /// Room for the connection of an answer that is still to settle, so that its call need not be counted as one that is out.
     /// `None` where nothing is left to settle, or there is no room.
     pub fn release(&self, answered: &Answered, progress: &Progress) -> Option<OwnedSemaphorePermit> {
-        let settles = provision(answered.effect, answered.kind()) == Provision::Settle;
-        if progress.attribution == Attribution::Certain || !settles {
+        if progress.attribution == Attribution::Certain || answered.closes_at_once() {
             return None;
         }
         self.settling.clone().try_acquire_owned().ok()
@@ -268,17 +277,16 @@
     /// # Errors
     /// The outcome, where the answer may belong to another call.
     pub async fn settle(&self, answered: Answered, progress: &mut Progress) -> Result<Message, Outcome> {
-        let kind = answered.kind();
-        let Answered { place, mut connection, effect, sent, at, answer, watched_until } = answered;
+        let (kind, closes_at_once) = (answered.kind(), answered.closes_at_once());
+        let Answered { place, mut connection, sent, at, answer, watched_until, .. } = answered;
         connection.closing = !answer.keep_alive;
         let quiet_until = self.watch.policy().quiet_until(&place, sent, at);
-        let settled = match (progress.attribution, provision(effect, kind)) {
-            (Attribution::Certain, _) => {
+        let settled = match progress.attribution {
+            Attribution::Certain => {
                 self.watch.policy().answered(&place, at - sent, at);
                 None
             }
-            // Closed before earlier answers have settled, it would leave them in doubt.
-            (_, Provision::Close) if connection.settling.is_empty() => return Ok(answer),
+            _ if closes_at_once => return Ok(answer),
             _ => Some(connection.settling.add(at, quiet_until.min(watched_until))),
         };
         self.rest(&place, connection, at, may_carry_more(kind));
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -129,9 +129,6 @@
     /// Tells what an answer means that is still to settle, so that the call holds no place at its destination meanwhile.
     async fn answered(&self, call: &OutboundCall, answer: &Message, (began, heard): (Micros, Micros)) {
         let (outcome, _, report) = read(answer, false, 0);
-        if let Outcome::Full(Some(wait)) = outcome {
-            self.connections.clearance().wait(call.lane, heard + wait);
-        }
         let (id, attempt, target) = (call.exchange.id.clone(), call.attempt, call.target);
         let answered = Answered { id, attempt, target, outcome, began, at: heard, report };
         let _ = self.inputs.send(Input::Answered(answered)).await;
