--- a/src/reuse.rs
+++ b/crates/verdict/src/reuse.rs
@@ -1,5 +1,5 @@
 //! Reuse of connections to endpoints: which calls may take one that carried a call before, how long one rests first, and
-//! what an answer on one proves. Owns no socket and no clock.
+//! for how long it is watched after an answer. Owns no socket and no clock.
 //!
 //! HTTP/1.1 has nothing that says to which request an answer belongs. On a connection that carried calls before, a late
 //! copy of an earlier answer looks like the answer to the call that is out. `docs/attribution.md` tells which rule makes
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 use std::hash::Hash;
 
-use crate::interface::{Effect, Micros};
+use crate::Micros;
 
 /// Shortest time after an answer before a connection carries another call, in microseconds: most copies come sooner.
 pub const REST: Micros = 50_000;
@@ -29,61 +29,6 @@
 /// Number of endpoints remembered; those that were used least recently are forgotten first.
 const MAX_ENDPOINTS: usize = 4096;
 
-/// What an answer means for its message, as far as that decides on its connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum AnswerKind {
-    /// Nothing more is owed.
-    EndsMessage,
-    /// The call never ran.
-    NeverRan,
-    /// The call may have run.
-    MayHaveRun,
-}
-
-/// What is done about an answer that may be a copy of an earlier one.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Provision {
-    /// It counts once the connection has stayed quiet for a while.
-    Settle,
-    /// It counts once the connection is closed, so that no repeat overlaps the call.
-    Close,
-}
-
-/// What to do about an answer to a call of this effect on a connection that carried calls before. Taking a call that runs for
-/// one that never ran matters where a repeat may take effect again; taking one that was refused for delivered always does.
-pub fn provision(effect: Effect, kind: AnswerKind) -> Provision {
-    match (kind, effect) {
-        (AnswerKind::EndsMessage, _) => Provision::Settle,
-        (AnswerKind::NeverRan, Effect::Safe) | (AnswerKind::MayHaveRun, _) => Provision::Close,
-        (AnswerKind::NeverRan, _) => Provision::Settle,
-    }
-}
-
-/// Whether a connection may carry another call after this answer. A copy of an answer that ends a message is never taken for
-/// the refusal of another one, so that connections on which all answers were such show no false refusal by a copy.
-pub fn may_carry_more(kind: AnswerKind) -> bool {
-    kind == AnswerKind::EndsMessage
-}
-
-/// What an answer says of the call that is out.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Attribution {
-    /// It is the first on its connection, or the connection stayed quiet after it.
-    #[default]
-    Certain,
-    /// The connection carried calls before, so that it may be a copy of an earlier answer.
-    Provisional,
-    /// Something came beside it: it may belong to the call or not.
-    Doubtful,
-}
-
-impl Attribution {
-    /// What the first bytes on a connection say that has carried so many calls before.
-    pub fn after(calls: u32) -> Self {
-        if calls == 0 { Attribution::Certain } else { Attribution::Provisional }
-    }
-}
-
 /// Mean and mean deviation of an endpoint's answer times.
 #[derive(Clone, Copy, Debug)]
 struct AnswerTimes {
@@ -119,8 +64,8 @@
     /// After one more surplus.
     fn after(before: Option<Withheld>, now: Micros) -> Self {
         let span = match before {
-            Some(before) if now < before.until => before.span,
-            Some(before) if now < before.until + before.span => (before.span * 2).min(MAX_WITHHOLD),
+            Some(before) if before.holds(now) => before.span,
+            Some(before) if before.remembered(now) => (before.span * 2).min(MAX_WITHHOLD),
             _ => FIRST_WITHHOLD,
         };
         Withheld { until: now + span, span }
@@ -129,6 +74,11 @@
     fn holds(&self, now: Micros) -> bool {
         now < self.until
     }
+
+    /// Whether another surplus would double the span.
+    fn remembered(&self, now: Micros) -> bool {
+        now < self.until + self.span
+    }
 }
 
 #[derive(Clone, Copy, Debug, Default)]
--- a/tests/reuse.rs
+++ b/crates/verdict/tests/reuse.rs
@@ -2,19 +2,16 @@
 
 use proptest::collection::vec;
 use proptest::prelude::*;
-use tulipfall::interface::{Effect, Micros};
-use tulipfall::reuse::{
-    AnswerKind, Attribution, FIRST_WITHHOLD, MAX_QUIET, MAX_WITHHOLD, MIN_QUIET, Provision, REST,
-    ReusePolicy, may_carry_more, provision,
-};
+use verdict::reuse::{FIRST_WITHHOLD, MAX_QUIET, MAX_WITHHOLD, MIN_QUIET, REST, ReusePolicy};
+use verdict::{Extent, Heard, Micros, Position, Repeat, StatusClass};
 
 const MS: Micros = 1_000;
 
 /// A call, as the endpoint would answer it on a connection of its own.
 #[derive(Clone, Debug)]
 struct Call {
-    effect: Effect,
-    answer: AnswerKind,
+    repeat: Repeat,
+    answer: StatusClass,
     takes: Micros,
     /// How long after its answer copies of that come.
     copies: Vec<Micros>,
@@ -25,7 +22,7 @@
 /// What the relay took for the outcome of a call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Verdict {
-    Taken(AnswerKind),
+    Taken(StatusClass),
     Doubtful,
 }
 
@@ -38,7 +35,7 @@
     /// Until when it is watched for them.
     until: Micros,
     /// What will come: when and what.
-    coming: Vec<(Micros, AnswerKind)>,
+    coming: Vec<(Micros, StatusClass)>,
     /// When the own answers of its calls came.
     own: Vec<Micros>,
     /// The own answer of a call had not come when the watch for it was over.
@@ -90,15 +87,17 @@
         // Nothing came until then, though the call was out.
         played.settle(at - 1);
         played.verdicts.push(Verdict::Taken(kind));
-        if Attribution::after(carried) == Attribution::Certain {
+        let extent = Extent::Whole(kind);
+        let heard = Heard { written: true, extent, position: Position::after(carried), ..Heard::default() };
+        if !heard.settles() {
             policy.answered(&0, at - sent, at);
-        } else if provision(call.effect, kind) == Provision::Close && played.unsettled.is_empty() {
+        } else if heard.closes_at_once(call.repeat) && played.unsettled.is_empty() {
             played.close();
         } else {
             played.until = played.until.max(policy.quiet_until(&0, sent, at));
             played.unsettled.push(played.verdicts.len() - 1);
         }
-        if !may_carry_more(kind) {
+        if !kind.carries_more() {
             break;
         }
     }
@@ -107,24 +106,25 @@
     played
 }
 
-fn effect() -> impl Strategy<Value = Effect> {
-    prop_oneof![Just(Effect::Safe), Just(Effect::Unsafe)]
+fn repeat() -> impl Strategy<Value = Repeat> {
+    prop_oneof![Just(Repeat::Harmless), Just(Repeat::Harmful)]
 }
 
-fn answer() -> impl Strategy<Value = AnswerKind> {
+fn answer() -> impl Strategy<Value = StatusClass> {
     prop_oneof![
-        4 => Just(AnswerKind::EndsMessage),
-        1 => Just(AnswerKind::NeverRan),
-        1 => Just(AnswerKind::MayHaveRun),
+        4 => Just(StatusClass::Delivered),
+        1 => Just(StatusClass::Over),
+        1 => Just(StatusClass::TurnedAway),
+        1 => Just(StatusClass::Failed),
     ]
 }
 
 prop_compose! {
     fn call()(
-        effect in effect(), answer in answer(), takes in 1..3_000 * MS,
+        repeat in repeat(), answer in answer(), takes in 1..3_000 * MS,
         copies in vec(1..2_000 * MS, 0..3), pause in 0..500 * MS,
     ) -> Call {
-        Call { effect, answer, takes, copies, pause }
+        Call { repeat, answer, takes, copies, pause }
     }
 }
 
@@ -136,9 +136,9 @@
         let played = play(&mut ReusePolicy::new(), &calls);
         for (call, verdict) in calls.iter().zip(&played.verdicts) {
             let matters = match verdict {
-                Verdict::Taken(AnswerKind::EndsMessage) => true,
-                Verdict::Taken(AnswerKind::NeverRan) => call.effect != Effect::Safe,
-                Verdict::Taken(AnswerKind::MayHaveRun) | Verdict::Doubtful => false,
+                Verdict::Taken(StatusClass::TurnedAway) => call.repeat == Repeat::Harmful,
+                Verdict::Taken(StatusClass::Failed) | Verdict::Doubtful => false,
+                Verdict::Taken(_) => true,
             };
             if matters && *verdict != Verdict::Taken(call.answer) {
                 prop_assert!(played.outlasted);
@@ -159,8 +159,8 @@
         calls[0].copies = copies;
         let played = play(&mut ReusePolicy::new(), &calls);
         for (call, verdict) in calls.iter().zip(&played.verdicts) {
-            if *verdict == Verdict::Taken(AnswerKind::NeverRan) && call.effect != Effect::Safe {
-                prop_assert_eq!(call.answer, AnswerKind::NeverRan);
+            if *verdict == Verdict::Taken(StatusClass::TurnedAway) && call.repeat == Repeat::Harmful {
+                prop_assert_eq!(call.answer, StatusClass::TurnedAway);
             }
         }
     }
--- a/src/as2.rs
+++ b/src/as2.rs
@@ -21,10 +21,11 @@
 
 use crate::exchange::{Answer, Clock, Exchange, OutboundCall, Receipt};
 use crate::input::Input;
-use crate::interface::{Micros, Outcome, Report};
-use crate::net::connections::{Connections, Progress, full};
+use crate::interface::{Micros, Outcome};
+use crate::net::connections::{Connections, full};
 use crate::net::http::{MOST_BODY, Message, Start};
-use crate::net::{Doing, Ended, Protocol};
+use crate::net::progress::Progress;
+use crate::net::{Doing, Protocol};
 
 /// An AS2 message may have so many bytes: a body, its signature and the frame around both.
 const MOST_MESSAGE: usize = 4 * MOST_BODY;
@@ -336,11 +337,11 @@
         self.partner_of(destination).is_some()
     }
 
-    fn attempt<'a>(&'a self, call: &'a OutboundCall, progress: &'a mut Progress) -> Doing<'a, Ended> {
+    fn attempt<'a>(&'a self, call: &'a OutboundCall, progress: &'a mut Progress) -> Doing<'a, Outcome> {
         Box::pin(async move {
             match self.partner_of(call.exchange.destination) {
                 Some(partner) => self.call(call, partner, progress).await,
-                None => (Outcome::Skipped, false, Report::default()),
+                None => Outcome::Skipped,
             }
         })
     }
@@ -375,14 +376,13 @@
     // ---- calls to partners ----
 
     /// One attempt: a signed message, and the receipt that proves it delivered. What is not proved may have run.
-    async fn call(&self, call: &OutboundCall, partner: &Partner, progress: &mut Progress) -> Ended {
-        let end = |outcome| (outcome, false, Report::default());
+    async fn call(&self, call: &OutboundCall, partner: &Partner, progress: &mut Progress) -> Outcome {
         let id = format!("<{}@{}>", call.exchange.id, self.identity.name);
         let (request, mic) = match self.message(call, partner, &id) {
             Ok(built) => built,
             Err(error) => {
                 warn!(message = call.exchange.id, "{id} cannot be signed: {error}");
-                return end(Outcome::ConnectFailed);
+                return Outcome::ConnectFailed;
             }
         };
         let waits = partner.asynchronous.then(|| self.wait(partner, &id, &mic));
@@ -392,21 +392,21 @@
             .await
         {
             Ok(answer) => answer,
-            Err(outcome) => return end(outcome),
+            Err(outcome) => return outcome,
         };
         match answer.start {
             Start::Response(200..=299) => {}
-            Start::Response(429 | 503) => return end(Outcome::Full(full(&answer))),
-            _ => return end(Outcome::Error),
+            Start::Response(429 | 503) => return Outcome::Full(full(&answer)),
+            _ => return Outcome::Error,
         }
         if let Some(mut waits) = waits {
             // Nothing but a verified receipt ends this; the call's deadline ends the wait for it.
             return match (&mut waits.verdict).await {
                 Ok(said) => {
                     progress.receipt = Some(said.evidence());
-                    end(Outcome::Ok)
+                    Outcome::Ok
                 }
-                Err(_) => end(Outcome::TimedOut),
+                Err(_) => Outcome::TimedOut,
             };
         }
         let content_type = answer.header("Content-Type").unwrap_or_default();
@@ -421,11 +421,11 @@
         match proof {
             Ok(said) => {
                 progress.receipt = Some(said.evidence());
-                end(Outcome::Ok)
+                Outcome::Ok
             }
             Err(error) => {
                 warn!(message = call.exchange.id, partner = partner.name, "receipt for {id}: {error}");
-                end(Outcome::Error)
+                Outcome::Error
             }
         }
     }
--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -11,7 +11,7 @@
 
 pub use crate::clock::Clock;
 
-use crate::interface::{Effect, Micros, Outcome, Report, TargetId};
+use crate::interface::{Effect, Micros, Outcome, Report, TargetId, Verdict};
 use crate::wire::RawEntry;
 
 /// The key by which a destination recognises the repeats of a message of a keyed class. It is passed on unchanged.
@@ -150,6 +150,7 @@
 
 /// How an attempt ended.
 #[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(from = "WrittenCallEnd", into = "WrittenCallEnd")]
 pub struct CallEnd {
     /// The message's id.
     pub id: String,
@@ -159,12 +160,11 @@
     pub target: TargetId,
     /// How it ended.
     pub outcome: Outcome,
-    /// The message is over elsewhere: nothing more is owed.
-    pub over: bool,
+    /// What that means for the message.
+    pub verdict: Verdict,
     /// When it was sent.
     pub began: Micros,
-    /// When its whole answer had come, if one did. A process of an earlier build tells none.
-    #[serde(default)]
+    /// When its whole answer had come, if one did.
     pub answered: Option<Micros>,
     /// What the endpoint told of its limit.
     pub report: Report,
@@ -172,6 +172,40 @@
     pub evidence: Evidence,
 }
 
+/// [`CallEnd`] as processes tell each other, earlier builds included, which know `over` and no verdict.
+#[derive(Serialize, Deserialize)]
+struct WrittenCallEnd {
+    id: String,
+    attempt: u32,
+    target: TargetId,
+    outcome: Outcome,
+    over: bool,
+    #[serde(default)]
+    verdict: Option<Verdict>,
+    began: Micros,
+    #[serde(default)]
+    answered: Option<Micros>,
+    report: Report,
+    evidence: Evidence,
+}
+
+impl From<WrittenCallEnd> for CallEnd {
+    fn from(end: WrittenCallEnd) -> Self {
+        let WrittenCallEnd { id, attempt, target, outcome, over, verdict, began, answered, report, evidence } =
+            end;
+        let verdict = verdict.unwrap_or(if over { Verdict::Over } else { outcome.verdict() });
+        CallEnd { id, attempt, target, outcome, verdict, began, answered, report, evidence }
+    }
+}
+
+impl From<CallEnd> for WrittenCallEnd {
+    fn from(end: CallEnd) -> Self {
+        let CallEnd { id, attempt, target, outcome, verdict, began, answered, report, evidence } = end;
+        let (over, verdict) = (verdict.ended(), Some(verdict));
+        WrittenCallEnd { id, attempt, target, outcome, over, verdict, began, answered, report, evidence }
+    }
+}
+
 /// An entry of the destination set, with the address that this relay reaches it by.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Member {
--- a/src/handover/new.rs
+++ b/src/handover/new.rs
@@ -214,8 +214,17 @@
     for ((id, attempt), OutNow { target, began, .. }) in left {
         let (report, evidence) = (Report::default(), Evidence::default());
         let outcome = Outcome::Reset;
-        let end =
-            CallEnd { id, attempt, target, outcome, over: false, began, answered: None, report, evidence };
+        let end = CallEnd {
+            id,
+            attempt,
+            target,
+            outcome,
+            verdict: outcome.verdict(),
+            began,
+            answered: None,
+            report,
+            evidence,
+        };
         if inputs.send(Input::Ended(end)).await.is_err() {
             return;
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
+pub use verdict::Verdict;
 
 /// A time of the caller's clock, or a span of it, in microseconds.
 pub type Micros = i64;
@@ -330,6 +331,14 @@
         use Outcome::{Cancelled, Error, Reset, Spoilt, TimedOut};
         matches!(self, Error | TimedOut | Reset | Spoilt | Cancelled)
     }
+
+    /// What it means for its message where nothing else is known of the attempt.
+    pub fn verdict(self) -> Verdict {
+        match self {
+            Outcome::Ok => Verdict::Delivered,
+            outcome => Verdict::Owed { may_have_run: outcome.may_have_run() },
+        }
+    }
 }
 
 /// What a destination told of its limit.
@@ -357,8 +366,8 @@
     pub outcome: Outcome,
     /// Time since it was sent.
     pub took: Micros,
-    /// The message has its final answer.
-    pub over: bool,
+    /// What that means for the message.
+    pub verdict: Verdict,
     /// What the destination told of its limit.
     pub report: Report,
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -95,7 +95,6 @@
 mod pacing;
 pub mod recording;
 pub mod retry;
-pub mod reuse;
 pub mod rules;
 pub mod runtime;
 pub mod standing;
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -2,29 +2,28 @@
 //! request's last byte was written, and whether an answer certainly belongs to its request. It must never send a request
 //! twice, on whatever connection, nor a call's bytes while something stands against the call.
 
+use std::pin::Pin;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use futures_util::{FutureExt, SinkExt, StreamExt};
-use record::model::Evidence;
+use futures_util::{FutureExt, SinkExt};
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio_util::codec::Framed;
 use tracing::{debug, warn};
+use verdict::reuse::{REST, ReusePolicy};
+use verdict::{After, Extent, Heard, Position, Repeat};
 
+use super::answer::AnswerReader;
 use super::clearance::Clearance;
-use super::http::{AnswerCodec, HttpError, MOST_BODY, Message, Part, Start};
+use super::http::{AnswerCodec, MOST_BODY, Message};
+use super::progress::Progress;
 use super::resting::{Broken, Connection, Pool, Settling, Surplus};
 use super::stream::{Stream, failed_locally};
 use crate::exchange::{Clock, OutboundCall};
 use crate::interface::{Effect, Micros, Outcome, TargetId};
-use crate::reuse::{AnswerKind, Attribution, Provision, REST, ReusePolicy, may_carry_more, provision};
 use crate::standing::ConnectionCounts;
 
-/// Where an answer's first line tells all, the rest may take so long before the connection is given up ...
-const REST_WITHIN: Micros = 100_000;
-/// ... and so long where it tells all but a wait: cut off sooner, one that comes in pieces would not be heard.
-const REFUSAL_WITHIN: Micros = 500_000;
 /// A connection that this machine could not make is tried again after this at first, in microseconds.
 const LOCAL_RETRY: Micros = 2_000;
 /// An idle connection is retired when this part of its idle life is left.
@@ -66,51 +65,11 @@
     warn_at: Arc<Mutex<Micros>>,
 }
 
-/// How far a request and its answer came.
-#[derive(Clone, Debug, Default)]
-pub struct Progress {
-    /// The request's last byte went out.
-    pub written: bool,
-    /// The status in the answer's first line.
-    pub first: Option<u16>,
-    /// It went out on a new connection.
-    pub opened: bool,
-    /// That line tells the outcome; what follows is awaited only for the connection's sake.
-    pub first_tells: bool,
-    /// The wait that the head of an answer told which turned the call away.
-    pub wait: Option<Micros>,
-    /// A receipt that proves the request processed.
-    pub receipt: Option<Evidence>,
-    /// Whether what came belongs to the request.
-    pub attribution: Attribution,
-    /// When the whole answer had come.
-    pub answered: Option<Micros>,
-    /// The number of the connection in this process, if one was there.
-    pub connection: Option<u64>,
-    /// Calls that it had carried before.
-    pub calls_before: u32,
-    /// For how long it had rested, in microseconds.
-    pub rested: Micros,
-}
-
-impl Progress {
-    /// Delivered, whatever becomes of the rest of the answer.
-    pub fn delivered(&self) -> bool {
-        self.first_tells && self.first == Some(200) && self.attribution == Attribution::Certain
-    }
-
-    /// What was heard.
-    pub fn evidence(self) -> Evidence {
-        let line = self.first.map(|status| Evidence::Status(format!("HTTP/1.1 {status}")));
-        self.receipt.or(line).unwrap_or_default()
-    }
-}
-
 /// A whole answer, which may still have to settle.
 pub struct Answered {
     place: Place,
     connection: Connection,
-    effect: Effect,
+    repeat: Repeat,
     sent: Micros,
     at: Micros,
     answer: Message,
@@ -129,18 +88,17 @@
         self.at
     }
 
-    /// Whether its connection is closed at once, if it may be a copy. Closed before earlier answers have settled, it would leave
-    /// them in doubt.
-    fn closes_at_once(&self) -> bool {
-        provision(self.effect, self.kind()) == Provision::Close && self.connection.settling.is_empty()
+    /// Whether its connection is closed at once. Closed before earlier answers have settled, it would leave them in doubt.
+    fn closes_at_once(&self, heard: &Heard) -> bool {
+        heard.closes_at_once(self.repeat) && self.connection.settling.is_empty()
     }
+}
 
-    fn kind(&self) -> AnswerKind {
-        match self.answer.start {
-            Start::Response(200..=299 | 410) => AnswerKind::EndsMessage,
-            Start::Response(429 | 503 | 504) => AnswerKind::NeverRan,
-            _ => AnswerKind::MayHaveRun,
-        }
+/// What a second run of a message does, where it has this effect.
+fn repeat(effect: Effect) -> Repeat {
+    match effect {
+        Effect::Safe => Repeat::Harmless,
+        Effect::Keyed { .. } | Effect::Unsafe => Repeat::Harmful,
     }
 }
 
@@ -223,37 +181,55 @@
         self
     }
 
+    /// Where connections and verdicts are counted.
+    pub fn counts(&self) -> &ConnectionCounts {
+        &self.watch.counts
+    }
+
     /// What stands against calls.
     pub fn clearance(&self) -> &Clearance {
         &self.clearance
     }
 
-    /// [`Connections::call`] and [`Connections::settle`] in one.
+    /// [`Connections::call`] and [`Connections::settle`] in one, for calls that nobody calls off.
     ///
     /// # Errors
-    /// Those of both.
+    /// That of the first.
     pub async fn ask(
         &self, place: &Place, call: Option<&OutboundCall>, request: impl FnOnce() -> Message,
         progress: &mut Progress,
     ) -> Result<Message, Outcome> {
-        let answered = self.call(place, call, request, progress).await?;
-        self.settle(answered, progress).await
+        let answered = self.call(place, call, request, progress, std::future::pending()).await?;
+        let answer = self.settle(answered, progress).await;
+        let doubtful = match progress.heard.after {
+            After::Surplus => true,
+            After::Ended => progress.heard.settles(),
+            After::Settled => false,
+        };
+        if doubtful { Err(Outcome::Spoilt) } else { Ok(answer) }
     }
 
     /// Writes a request once, on one connection, and reads the answer; `progress` tells how far both came. It is made
     /// once the connection is there; where it is the request of `call`, not a byte goes while something stands against
-    /// that, and not the last one either. Whoever drops this in between ends the connection.
+    /// that, and not the last one either. It is given up at the deadline of `call`, or once `called_off` comes.
     ///
     /// # Errors
-    /// The outcome, where no whole answer came by the deadline of `call`.
+    /// The outcome, where no whole answer came.
     pub async fn call(
         &self, place: &Place, call: Option<&OutboundCall>, request: impl FnOnce() -> Message,
-        progress: &mut Progress,
+        progress: &mut Progress, called_off: impl Future<Output = ()>,
     ) -> Result<Answered, Outcome> {
-        let deadline = call.map_or(Micros::MAX, |call| call.deadline);
-        let exchange = self.exchange(place, call, request, progress);
-        let answered = tokio::time::timeout_at(self.clock.instant(deadline), exchange).await;
-        let answered = answered.unwrap_or(Err(Outcome::TimedOut))?;
+        let deadline = self.clock.instant(call.map_or(Micros::MAX, |call| call.deadline));
+        let limit = async {
+            tokio::select! {
+                biased;
+                () = called_off => Outcome::Cancelled,
+                () = tokio::time::sleep_until(deadline) => Outcome::TimedOut,
+            }
+        };
+        tokio::pin!(limit);
+        let answered = self.exchange(place, call, request, progress, limit).await;
+        let answered = answered?;
         progress.answered = Some(answered.at);
         // It binds from now on, however long the answer takes to settle.
         if let (Some(wait), Some(call)) = (progress.wait, call) {
@@ -265,66 +241,64 @@
     /// Room for the connection of an answer that is still to settle, so that its call need not be counted as one that is out.
     /// `None` where nothing is left to settle, or there is no room.
     pub fn release(&self, answered: &Answered, progress: &Progress) -> Option<OwnedSemaphorePermit> {
-        if progress.attribution == Attribution::Certain || answered.closes_at_once() {
+        if !progress.heard.settles() || answered.closes_at_once(&progress.heard) {
             return None;
         }
         self.settling.clone().try_acquire_owned().ok()
     }
 
     /// Settles whether an answer belongs to its call, and what becomes of the connection. One that may be a copy is watched
-    /// for what else comes, or its connection is closed.
-    ///
-    /// # Errors
-    /// The outcome, where the answer may belong to another call.
-    pub async fn settle(&self, answered: Answered, progress: &mut Progress) -> Result<Message, Outcome> {
-        let (kind, closes_at_once) = (answered.kind(), answered.closes_at_once());
+    /// for what else comes, or its connection is closed. The progress says what came of that.
+    pub async fn settle(&self, answered: Answered, progress: &mut Progress) -> Message {
+        let closes_at_once = answered.closes_at_once(&progress.heard);
         let Answered { place, mut connection, sent, at, answer, watched_until, .. } = answered;
         connection.closing = !answer.keep_alive;
+        if !progress.heard.settles() {
+            self.watch.policy().answered(&place, at - sent, at);
+            self.rest(&place, connection, at, progress.heard);
+            return answer;
+        }
+        if closes_at_once {
+            return answer;
+        }
         let quiet_until = self.watch.policy().quiet_until(&place, sent, at);
-        let settled = match progress.attribution {
-            Attribution::Certain => {
-                self.watch.policy().answered(&place, at - sent, at);
-                None
-            }
-            _ if closes_at_once => return Ok(answer),
-            _ => Some(connection.settling.add(at, quiet_until.min(watched_until))),
-        };
-        self.rest(&place, connection, at, may_carry_more(kind));
-        let Some(settled) = settled else { return Ok(answer) };
+        let settled = connection.settling.add(at, quiet_until.min(watched_until));
+        self.rest(&place, connection, at, progress.heard);
         let by = self.clock.instant(watched_until.saturating_add(SETTLED_WITHIN));
-        if !matches!(tokio::time::timeout_at(by, settled).await, Ok(Ok(()))) {
-            progress.attribution = Attribution::Doubtful;
+        let after = tokio::time::timeout_at(by, settled).await;
+        progress.heard.after = after.ok().and_then(Result::ok).unwrap_or(After::Ended);
+        if progress.heard.after == After::Surplus {
             ConnectionCounts::add(&self.watch.counts.doubtful);
-            return Err(Outcome::Spoilt);
         }
-        progress.attribution = Attribution::Certain;
-        Ok(answer)
+        answer
     }
 
     /// What becomes of a connection after an answer that came then.
-    fn rest(&self, place: &Place, connection: Connection, at: Micros, carries_more: bool) {
+    fn rest(&self, place: &Place, mut connection: Connection, at: Micros, heard: Heard) {
         if !connection.framed.read_buffer().is_empty() {
             let surplus = Surplus::read(connection.framed.read_buffer());
+            connection.settling.conclude(After::Surplus);
             return self.watch.surplus(place, &connection, surplus, "answer");
         }
+        let carries_more = matches!(heard.extent, Extent::Whole(class) if class.carries_more());
         let carries_more = carries_more && !connection.closing && !self.watch.policy().withholds(place, at);
         self.keep(place, connection, (at, carries_more.then_some(at + REST)));
     }
 
-    /// One request and its answer.
-    async fn exchange(
+    /// One request and its answer, until `limit` gives it up.
+    async fn exchange<L>(
         &self, place: &Place, call: Option<&OutboundCall>, request: impl FnOnce() -> Message,
-        progress: &mut Progress,
-    ) -> Result<Answered, Outcome> {
-        let effect = call.map_or(Effect::Safe, |call| call.effect);
-        let (mut connection, since) = match self.resting(place).await {
-            Some(resting) => resting,
-            None => {
-                progress.opened = true;
-                (self.open(place).await?, self.clock.now())
-            }
+        progress: &mut Progress, mut limit: Pin<&mut L>,
+    ) -> Result<Answered, Outcome>
+    where
+        L: Future<Output = Outcome>,
+    {
+        let (mut connection, since) = tokio::select! {
+            biased;
+            connection = self.connection(place, progress) => connection?,
+            outcome = &mut limit => return Err(outcome),
         };
-        progress.attribution = Attribution::after(connection.calls);
+        progress.heard.position = Position::after(connection.calls);
         (progress.connection, progress.calls_before) = (Some(connection.number), connection.calls);
         progress.rested = self.clock.now() - since;
         let withdrawn = async {
@@ -349,58 +323,38 @@
             biased;
             () = &mut withdrawn => Err(Outcome::Skipped),
             flushed = connection.framed.flush() => flushed.map_err(|_| Outcome::ConnectFailed),
+            outcome = &mut limit => Err(outcome),
         };
-        match flushed {
-            Err(outcome) if !connection.framed.write_buffer().is_empty() => return Err(outcome),
-            _ => progress.written = true,
-        }
         let sent = self.clock.now();
-        let answer = self.read(&mut connection, progress).await?;
+        if let Err(outcome) = flushed
+            && !connection.framed.write_buffer().is_empty()
+        {
+            // An answer to half a request may say that its message is over.
+            let given_up = async { outcome };
+            tokio::pin!(given_up);
+            let reader = AnswerReader::new(self.clock, &mut connection, progress, sent);
+            let _ = reader.read(given_up).await;
+            return Err(outcome);
+        }
+        progress.heard.written = true;
+        let quiet_until = self.watch.policy().quiet_until(place, sent, sent);
+        let reader = AnswerReader::new(self.clock, &mut connection, progress, quiet_until);
+        let answer = reader.read(limit).await?;
         let watched_until = call.map_or(Micros::MAX, |call| call.deadline.saturating_add(PAST_DEADLINE));
         let (place, at) = (place.clone(), self.clock.now());
-        Ok(Answered { place, connection, effect, sent, at, answer, watched_until })
-    }
-
-    /// Comes once something comes, or no earlier answer waits to settle. Those count that nothing followed in their time, though
-    /// another call is out by now: what they may be copies for would have come first.
-    async fn first_bytes(&self, connection: &mut Connection) {
-        while let Some(due) = connection.settling.due() {
-            let broken = tokio::time::timeout_at(self.clock.instant(due), connection.broken()).await;
-            if broken.is_ok() {
-                return;
-            }
-            connection.settling.settle();
-        }
+        let repeat = repeat(call.map_or(Effect::Safe, |call| call.effect));
+        Ok(Answered { place, connection, repeat, sent, at, answer, watched_until })
     }
 
-    /// Reads a whole answer.
-    async fn read(&self, connection: &mut Connection, progress: &mut Progress) -> Result<Message, Outcome> {
-        self.first_bytes(connection).await;
-        let framed = &mut connection.framed;
-        let mut by = Micros::MAX;
-        loop {
-            match tokio::time::timeout_at(self.clock.instant(by), framed.next()).await {
-                Ok(Some(Ok(Part::First(status)))) => {
-                    progress.first = Some(status);
-                    if progress.first_tells {
-                        let rest = if matches!(status, 429 | 503) { REFUSAL_WITHIN } else { REST_WITHIN };
-                        by = self.clock.now() + rest;
-                    }
-                }
-                Ok(Some(Ok(Part::Head(head)))) => {
-                    progress.wait = full(&head).filter(|_| matches!(progress.first, Some(429 | 503)));
-                }
-                Ok(Some(Ok(Part::Whole(answer)))) => return Ok(answer),
-                // Nothing of an answer came.
-                Ok(None) => return Err(Outcome::Reset),
-                Ok(Some(Err(HttpError::Io(_))))
-                    if progress.first.is_none() && framed.read_buffer().is_empty() =>
-                {
-                    return Err(Outcome::Reset);
-                }
-                Ok(Some(Err(_))) | Err(_) => return Err(Outcome::Spoilt),
-            }
+    /// A connection that may carry a call, and since when it rests.
+    async fn connection(
+        &self, place: &Place, progress: &mut Progress,
+    ) -> Result<(Connection, Micros), Outcome> {
+        if let Some(resting) = self.resting(place).await {
+            return Ok(resting);
         }
+        progress.opened = true;
+        Ok((self.open(place).await?, self.clock.now()))
     }
 
     /// A new connection, on which nothing lies yet.
--- a/src/net/door.rs
+++ b/src/net/door.rs
@@ -21,7 +21,7 @@
 use super::stream::Stream;
 use crate::exchange::Clock;
 use crate::interface::Micros;
-use crate::standing::{ConnectionCounts, Standing, StoreHealth, StoreOutage};
+use crate::standing::{ConnectionCounts, Standing, StoreHealth, StoreOutage, VerdictCounts};
 
 /// Callers at a time; the oldest that is not done makes room for the next.
 const CALLERS: usize = 24;
@@ -129,9 +129,12 @@
 
 /// The connections to endpoints, as operators are shown them.
 fn connections(counts: &ConnectionCounts) -> Value {
-    let ConnectionCounts { opened, surplus, doubtful, withheld } = counts;
+    let ConnectionCounts { opened, surplus, doubtful, withheld, verdicts } = counts;
     let read = |count: &AtomicU64| count.load(Ordering::Relaxed);
-    json!({"opened": read(opened), "surplus": read(surplus), "doubtful": read(doubtful), "withheld": read(withheld)})
+    let VerdictCounts { delivered, over, may_have_ended, spent, owed } = verdicts;
+    json!({"opened": read(opened), "surplus": read(surplus), "doubtful": read(doubtful), "withheld": read(withheld),
+        "verdicts": {"delivered": read(delivered), "over": read(over), "may_have_ended": read(may_have_ended),
+            "spent": read(spent), "owed": read(owed)}})
 }
 
 /// What a call is answered.
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -27,6 +27,9 @@
     /// The bytes are no HTTP/1.1 message.
     #[error("malformed: {0}")]
     Malformed(&'static str),
+    /// The connection ended in the middle of it.
+    #[error("malformed: ended early")]
+    EndedEarly,
     /// The body is over the limit.
     #[error("the body is over {0} bytes")]
     TooLarge(usize),
@@ -367,7 +370,7 @@
         if src.is_empty() && matches!(self.state, State::Head) {
             Ok(None)
         } else {
-            Err(HttpError::Malformed("ended early"))
+            Err(HttpError::EndedEarly)
         }
     }
 }
@@ -459,7 +462,7 @@
     fn decode_eof(&mut self, src: &mut BytesMut) -> Result<Option<Part>, HttpError> {
         let part = self.part(src, Codec::decode_eof)?;
         match part {
-            None if !src.is_empty() || self.told => Err(HttpError::Malformed("ended early")),
+            None if !src.is_empty() || self.told => Err(HttpError::EndedEarly),
             part => Ok(part),
         }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The platform's front on sockets: HTTP/1.1 framing, the client's side, the endpoints' side and discovery.
 //! Owns every socket of that front. It must never decide what is sent where, when or again.
 
+pub mod answer;
 pub mod clearance;
 pub mod connections;
 pub mod discovery;
@@ -8,6 +9,7 @@
 pub mod http;
 pub mod inbound;
 pub mod outbound;
+pub mod progress;
 pub mod resting;
 pub mod stream;
 
@@ -18,13 +20,11 @@
 use record::model::Expected;
 
 use crate::exchange::{Exchange, OutboundCall};
-use crate::interface::{Outcome, Report};
-use connections::Progress;
+use crate::interface::Outcome;
 use http::Message;
+use progress::Progress;
 use stream::Stream;
 
-/// How an attempt ended: its outcome, whether the message is over elsewhere, and what was told of a limit.
-pub type Ended = (Outcome, bool, Report);
 /// Something that is being done.
 pub type Doing<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
 
@@ -40,7 +40,7 @@
     fn serves(&self, destination: i64) -> bool;
 
     /// One attempt.
-    fn attempt<'a>(&'a self, call: &'a OutboundCall, progress: &'a mut Progress) -> Doing<'a, Ended>;
+    fn attempt<'a>(&'a self, call: &'a OutboundCall, progress: &'a mut Progress) -> Doing<'a, Outcome>;
 
     /// The receipt that proves a message, where its destination gives receipts.
     fn expected(&self, exchange: &Exchange) -> Option<Expected>;
--- a/src/net/outbound.rs
+++ b/src/net/outbound.rs
@@ -6,15 +6,16 @@
 use record::model::Expected;
 use tokio::sync::{mpsc, oneshot};
 use tracing::debug;
+use verdict::{After, Verdict};
 
+use super::Protocol;
 use super::clearance::Clearance;
-use super::connections::{Connections, Progress, full};
+use super::connections::{Connections, full};
 use super::http::{Message, Start};
-use super::{Ended, Protocol};
+use super::progress::Progress;
 use crate::exchange::{Answered, CallEnd, Clock, Exchange, OutboundCall};
 use crate::input::Input;
 use crate::interface::{Micros, Outcome, Report, TargetId};
-use crate::reuse::Attribution;
 use crate::runtime::Caller;
 
 /// A report with a greater figure makes no sense.
@@ -40,18 +41,12 @@
 
     async fn run(self, call: OutboundCall, called_off: oneshot::Receiver<()>) {
         let began = self.clock.now();
-        let mut progress = Progress::default();
-        let (outcome, over, report) = tokio::select! {
-            end = self.attempt(&call, began, &mut progress) => end,
-            Ok(()) = called_off => (Outcome::Cancelled, false, Report::default()),
-        };
-        let outcome = match outcome {
-            _ if progress.delivered() => Outcome::Ok,
-            Outcome::Skipped => Outcome::Skipped,
-            // What was not written to its last byte never ran, however it ended.
-            _ if !progress.written => Outcome::ConnectFailed,
-            outcome => outcome,
+        let beside = self.beside.clone().filter(|beside| beside.serves(call.exchange.destination));
+        let ended = match beside {
+            Some(beside) => self.attempt_beside(&*beside, &call, called_off).await,
+            None => self.attempt(&call, began, called_off).await,
         };
+        let Ended { outcome, verdict, report, progress } = ended;
         // Between here and the runtime's hearing of it nothing else is told, so that no call that the module decides on
         // knowing less finds this wait in its way again and again.
         if let Some(wait) = progress.wait {
@@ -59,82 +54,138 @@
         }
         let report = Report { wait: progress.wait, ..report };
         let (id, attempt, target) = (call.exchange.id.clone(), call.attempt, call.target);
-        let destination = call.exchange.destination;
+        self.connections.counts().judged(verdict);
         debug!(
             message = id,
             attempt,
-            destination,
+            destination = call.exchange.destination,
             endpoint = &*call.address,
             ?outcome,
+            verdict = verdict.word(),
+            status = progress.first,
+            heard = ?progress.heard,
             began,
             connection = progress.connection,
             calls_before = progress.calls_before,
             rested = progress.rested,
-            attribution = ?progress.attribution,
             left = report.left,
             limit = report.limit,
             "attempt ended"
         );
-        let answered = progress.answered;
-        let evidence = progress.evidence();
-        let end = CallEnd { id, attempt, target, outcome, over, began, answered, report, evidence };
+        let (answered, evidence) = (progress.answered, progress.evidence());
+        let end = CallEnd { id, attempt, target, outcome, verdict, began, answered, report, evidence };
         let _ = self.inputs.send(Input::Ended(end)).await;
     }
 
-    async fn attempt(&self, call: &OutboundCall, began: Micros, progress: &mut Progress) -> Ended {
-        if let Some(beside) = self.beside.as_ref().filter(|beside| beside.serves(call.exchange.destination)) {
-            let attempt = beside.attempt(call, progress);
-            let by = self.clock.instant(call.deadline);
-            let timed_out = (Outcome::TimedOut, false, Report::default());
-            return tokio::time::timeout_at(by, attempt).await.unwrap_or(timed_out);
-        }
-        // One message a call: a first line with 200 says that it was delivered, whatever follows.
-        progress.first_tells = true;
-        let request = || {
-            let left = (call.deadline - self.clock.now()).max(0) / 1000;
-            let mut request = Message::request("POST", "/v1/messages")
-                .with("Host", &*call.address)
-                .with("X-Correlation-Id", &call.exchange.id)
-                .with("X-Time-Left", format!("{left}m"))
-                .with_idempotency_key(call.exchange.idempotency_key.as_ref());
-            request.body = call.exchange.body.clone();
-            request
+    /// An attempt by the protocol beside the platform's, whose receipts alone prove a delivery.
+    async fn attempt_beside(
+        &self, beside: &dyn Protocol, call: &OutboundCall, called_off: oneshot::Receiver<()>,
+    ) -> Ended {
+        let mut progress = Progress::default();
+        let by = self.clock.instant(call.deadline);
+        let outcome = tokio::select! {
+            biased;
+            outcome = beside.attempt(call, &mut progress) => outcome,
+            () = is_called_off(called_off) => Outcome::Cancelled,
+            () = tokio::time::sleep_until(by) => Outcome::TimedOut,
         };
-        let place = (call.address.clone(), Some(call.target));
-        let answered = match self.connections.call(&place, Some(call), request, progress).await {
-            Ok(answered) => answered,
-            Err(outcome) => return (outcome, false, Report::default()),
+        let outcome = match outcome {
+            Outcome::Ok | Outcome::Skipped => outcome,
+            // What was not written to its last byte never ran, however it ended.
+            _ if !progress.heard.written => Outcome::ConnectFailed,
+            outcome => outcome,
         };
-        let (heard, opened) = (answered.at(), progress.opened);
-        let certain = progress.attribution == Attribution::Certain;
-        let released = match self.connections.release(&answered, progress) {
+        Ended { outcome, verdict: outcome.verdict(), report: Report::default(), progress }
+    }
+
+    async fn attempt(&self, call: &OutboundCall, began: Micros, called_off: oneshot::Receiver<()>) -> Ended {
+        // One message a call: a first line tells what became of it, whatever follows.
+        let mut progress = Progress { first_tells: true, ..Progress::default() };
+        let place = (call.address.clone(), Some(call.target));
+        let request = || self.request(call);
+        let called_off = is_called_off(called_off);
+        let answered =
+            match self.connections.call(&place, Some(call), request, &mut progress, called_off).await {
+                Ok(answered) => answered,
+                Err(outcome) => return Ended::without_answer(outcome, progress),
+            };
+        let heard_at = answered.at();
+        let settles = progress.heard.settles();
+        let released = match self.connections.release(&answered, &progress) {
             Some(released) => {
-                self.answered(call, answered.answer(), (began, heard)).await;
+                self.answered(call, answered.answer(), (began, heard_at)).await;
                 Some(released)
             }
             None => None,
         };
-        let settled = self.connections.settle(answered, progress).await;
+        let answer = self.connections.settle(answered, &mut progress).await;
         drop(released);
-        match settled {
-            Ok(answer) => {
-                let age = if certain { 0 } else { self.clock.now() - heard };
-                progress.wait = progress.wait.map(|wait| (wait - age).max(0));
-                read(&answer, opened, age)
-            }
-            Err(outcome) => (outcome, false, Report::default()),
-        }
+        let age = if settles { self.clock.now() - heard_at } else { 0 };
+        progress.wait = progress.wait.map(|wait| (wait - age).max(0));
+        Ended::by_answer(&answer, age, progress)
+    }
+
+    fn request(&self, call: &OutboundCall) -> Message {
+        let left = (call.deadline - self.clock.now()).max(0) / 1000;
+        let mut request = Message::request("POST", "/v1/messages")
+            .with("Host", &*call.address)
+            .with("X-Correlation-Id", &call.exchange.id)
+            .with("X-Time-Left", format!("{left}m"))
+            .with_idempotency_key(call.exchange.idempotency_key.as_ref());
+        request.body = call.exchange.body.clone();
+        request
     }
 
     /// Tells what an answer means that is still to settle, so that the call holds no place at its destination meanwhile.
     async fn answered(&self, call: &OutboundCall, answer: &Message, (began, heard): (Micros, Micros)) {
-        let (outcome, _, report) = read(answer, false, 0);
+        let outcome = read(answer, false, 0);
         let (id, attempt, target) = (call.exchange.id.clone(), call.attempt, call.target);
-        let answered = Answered { id, attempt, target, outcome, began, at: heard, report };
+        let answered = Answered { id, attempt, target, outcome, began, at: heard, report: reported(answer) };
         let _ = self.inputs.send(Input::Answered(answered)).await;
     }
 }
 
+/// Comes once a call is called off; never, where nobody can any more.
+async fn is_called_off(called_off: oneshot::Receiver<()>) {
+    if called_off.await.is_err() {
+        std::future::pending().await
+    }
+}
+
+/// How an attempt ended.
+struct Ended {
+    outcome: Outcome,
+    verdict: Verdict,
+    report: Report,
+    progress: Progress,
+}
+
+impl Ended {
+    /// With no whole answer.
+    fn without_answer(outcome: Outcome, progress: Progress) -> Self {
+        let verdict = progress.heard.verdict();
+        let outcome = match (outcome, verdict) {
+            (_, Verdict::Delivered) => Outcome::Ok,
+            (_, Verdict::Over | Verdict::Spent { .. }) | (Outcome::Skipped, _) => Outcome::Skipped,
+            (_, Verdict::MayHaveEnded) => Outcome::Spoilt,
+            // What was not written to its last byte never ran, however it ended.
+            _ if !progress.heard.written => Outcome::ConnectFailed,
+            (outcome, Verdict::Owed { .. }) => outcome,
+        };
+        Ended { outcome, verdict, report: Report::default(), progress }
+    }
+
+    /// By an answer that came so long ago.
+    fn by_answer(answer: &Message, age: Micros, progress: Progress) -> Self {
+        let verdict = progress.heard.verdict();
+        if progress.heard.after == After::Surplus || verdict == Verdict::MayHaveEnded {
+            return Ended { outcome: Outcome::Spoilt, verdict, report: Report::default(), progress };
+        }
+        let outcome = read(answer, progress.opened, age);
+        Ended { outcome, verdict, report: reported(answer), progress }
+    }
+}
+
 impl Caller for Outbound {
     fn call(&self, call: OutboundCall) -> oneshot::Sender<()> {
         let (handle, called_off) = oneshot::channel();
@@ -155,11 +206,11 @@
     }
 }
 
-/// What an answer means that came so long ago; `opened` where it is the first on its connection.
-fn read(answer: &Message, opened: bool, age: Micros) -> (Outcome, bool, Report) {
-    let Start::Response(status) = answer.start else { return (Outcome::Reset, false, Report::default()) };
+/// What an answer that came so long ago tells of its endpoint; `opened` where it is the first on its connection.
+fn read(answer: &Message, opened: bool, age: Micros) -> Outcome {
+    let Start::Response(status) = answer.start else { return Outcome::Reset };
     let wait = full(answer).map(|wait| (wait - age).max(0));
-    let outcome = match status {
+    match status {
         200 => Outcome::Ok,
         429 => Outcome::Full(wait),
         503 if answer.header("X-Over-Slots") == Some("1") => Outcome::Skipped,
@@ -168,8 +219,12 @@
         503 => Outcome::Full(wait),
         504 | 410 => Outcome::Skipped,
         _ => Outcome::Error,
-    };
-    (outcome, status == 410, report(answer.header("X-Backend-Load").unwrap_or_default()))
+    }
+}
+
+/// What an answer tells of the limit.
+fn reported(answer: &Message) -> Report {
+    report(answer.header("X-Backend-Load").unwrap_or_default())
 }
 
 /// What an answer tells of the limit; one that cannot be read in full tells nothing.
--- a/src/net/resting.rs
+++ b/src/net/resting.rs
@@ -7,6 +7,7 @@
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 use tokio_util::codec::Framed;
+use verdict::After;
 
 use super::http::AnswerCodec;
 use super::quiet;
@@ -35,18 +36,18 @@
     pub settling: Settling,
 }
 
-/// Answers on a connection that may be copies of earlier ones. They count once the connection has stayed quiet; whoever
-/// waits for that hears nothing if it is closed before.
+/// Answers on a connection that may be copies of earlier ones. Whoever waits for one hears what came after it; nothing, if the
+/// connection ended.
 #[derive(Default)]
 pub struct Settling {
-    waiting: Vec<oneshot::Sender<()>>,
+    waiting: Vec<oneshot::Sender<After>>,
     since: Micros,
     until: Micros,
 }
 
 impl Settling {
     /// Adds an answer that came now, and settles all if the connection stays quiet until then.
-    pub fn add(&mut self, now: Micros, until: Micros) -> oneshot::Receiver<()> {
+    pub fn add(&mut self, now: Micros, until: Micros) -> oneshot::Receiver<After> {
         if self.waiting.is_empty() {
             self.since = now;
         }
@@ -66,10 +67,10 @@
         (!self.is_empty()).then_some(self.until)
     }
 
-    /// The connection has stayed quiet.
-    pub fn settle(&mut self) {
-        for settled in self.waiting.drain(..) {
-            let _ = settled.send(());
+    /// Tells what came after all that wait.
+    pub fn conclude(&mut self, after: After) {
+        for waiting in self.waiting.drain(..) {
+            let _ = waiting.send(after);
         }
     }
 }
@@ -119,6 +120,11 @@
     pub fn quiet(&self) -> bool {
         self.framed.read_buffer().is_empty() && quiet(self.framed.get_ref())
     }
+
+    /// Whether bytes or an end lie on it that were not read yet, as the system has it at this moment.
+    pub fn unread(&self) -> bool {
+        !quiet(self.framed.get_ref())
+    }
 }
 
 /// A connection at rest.
@@ -228,9 +234,12 @@
         tokio::select! {
             biased;
             how = connection.broken() => {
-                if how == Broken::Closed && connection.closing {
-                    connection.settling.settle();
-                }
+                connection.settling.conclude(match how {
+                    // It said that it would.
+                    Broken::Closed if connection.closing => After::Settled,
+                    Broken::Closed => After::Ended,
+                    Broken::Surplus(_) => After::Surplus,
+                });
                 broken(&connection, how);
                 return None;
             }
@@ -238,7 +247,7 @@
                 Ok(()) => return Some(connection),
                 Err(_) => kept = false,
             },
-            () = tokio::time::sleep_until(settled), if !connection.settling.is_empty() => connection.settling.settle(),
+            () = tokio::time::sleep_until(settled), if !connection.settling.is_empty() => connection.settling.conclude(After::Settled),
         }
     }
     None
--- a/src/rules/outcomes.rs
+++ b/src/rules/outcomes.rs
@@ -40,14 +40,14 @@
     }
 
     pub(super) fn done(&mut self, now: Micros, done: &Done, actions: &mut Vec<Action>) {
-        let Done { id, outcome, over, .. } = *done;
+        let Done { id, outcome, verdict, .. } = *done;
         let Some(message) = self.messages.get_mut(&id) else { return };
         let Some(call_id) = message.out.take() else { return };
-        let over = over || message.over;
+        let over = verdict.ended() || message.over;
         let settled = message.settling.take();
         let Some((begun, zone)) = settled.or_else(|| self.answer_of(now, call_id, done)) else { return };
         let Some(message) = self.messages.get_mut(&id) else { return };
-        if outcome.may_have_run() {
+        if verdict.may_have_run() {
             message.risk = message.risk.or(Some((begun, zone)));
             let rest = if outcome == Outcome::Error { 0 } else { self.settings.rules.settle };
             if let Some(line) = message.key.as_ref().and_then(|key| self.keys.get_mut(key)) {
@@ -57,7 +57,11 @@
         let Some(message) = self.messages.get(&id) else { return };
         if over {
             self.forget(id);
-        } else if message.attempts >= self.settings.max_attempts
+        } else if verdict == Verdict::MayHaveEnded {
+            actions.push(Action::Fail(id));
+            self.forget(id);
+        } else if !verdict.owed()
+            || message.attempts >= self.settings.max_attempts
             || self.last_start(message) <= now
             || (message.risk.is_some() && self.settings.classes[message.class].effect == Effect::Unsafe)
         {
--- a/src/runtime/outage.rs
+++ b/src/runtime/outage.rs
@@ -182,8 +182,8 @@
         match call {
             Some(call) => {
                 let OutboundCall { attempt, target, .. } = call;
-                let (outcome, report) = (Outcome::Skipped, Report::default());
-                self.handle(Event::Done(Done { id, attempt, target, outcome, took: 0, over: true, report }));
+                let (outcome, verdict, report) = (Outcome::Skipped, Verdict::Over, Report::default());
+                self.handle(Event::Done(Done { id, attempt, target, outcome, took: 0, verdict, report }));
             }
             None => self.handle(Event::Gone(id)),
         }
@@ -201,7 +201,7 @@
             attempt,
             target,
             outcome,
-            over: false,
+            verdict: outcome.verdict(),
             began,
             answered: None,
             report,
--- a/src/runtime/outcomes.rs
+++ b/src/runtime/outcomes.rs
@@ -26,24 +26,26 @@
             let _ = fleet.send(fleet::ended(destination, end.outcome, times, &end.report));
         }
         let told = held.trace.as_mut().map(|trace| {
-            let told = heard(now, end.outcome, end.evidence);
+            let told = heard(now, end.outcome, end.verdict, end.evidence);
             trace.ended(end.attempt, now, &told.result, told.effect, told.evidence.clone());
             told
         });
         let withdrawn = held.withdrawn;
-        let over = end.over || end.outcome == Outcome::Ok || withdrawn;
-        if over {
-            let delivered = end.outcome == Outcome::Ok && !withdrawn;
+        if end.verdict.ended() || withdrawn {
+            let delivered = end.verdict == Verdict::Delivered && !withdrawn;
             let outcome = if delivered { RecordedOutcome::Delivered } else { RecordedOutcome::Withdrawn };
             self.finish(id, outcome, None);
         } else {
-            let may_have_run = end.outcome.may_have_run();
+            let may_have_run = end.verdict.may_have_run();
             let (id, attempt) = (end.id, end.attempt);
             self.records.push(Record::Outcome { id, attempt, may_have_run, heard: told });
         }
         let took = end.answered.unwrap_or_else(|| self.clock.now()) - end.began;
-        let CallEnd { attempt, target, outcome, report, .. } = end;
-        let done = Done { id, attempt, target, outcome, took, over, report };
+        let CallEnd { attempt, target, outcome, mut verdict, report, .. } = end;
+        if withdrawn {
+            verdict = Verdict::Over;
+        }
+        let done = Done { id, attempt, target, outcome, took, verdict, report };
         self.hold_back(&done, now);
         self.handle(Event::Done(done));
     }
@@ -56,14 +58,15 @@
         let destination = held.exchange.destination;
         let Answered { attempt, target, outcome, began, at, report, .. } = answered;
         self.tell_fleet(fleet::ended(destination, outcome, (began, at), &report));
-        let done = Done { id, attempt, target, outcome, took: at - began, over: false, report };
+        let done =
+            Done { id, attempt, target, outcome, took: at - began, verdict: outcome.verdict(), report };
         self.hold_back(&done, self.clock.now());
         self.handle(Event::Answered(done));
     }
 
     /// A call ended after its message did. It is worth recording that it took effect all the same.
     fn ended_too_late(&mut self, end: CallEnd, now: Micros) {
-        if end.outcome == Outcome::Ok {
+        if end.verdict == Verdict::Delivered {
             self.came_late(Late {
                 id: end.id,
                 at: now,
--- a/src/standing.rs
+++ b/src/standing.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 use tokio::sync::watch;
+use verdict::Verdict;
 
 use crate::exchange::Clock;
 use crate::interface::Micros;
@@ -65,9 +66,38 @@
     pub doubtful: AtomicU64,
     /// Calls that did not take a connection at rest, as an answer on it would not have been certain enough.
     pub withheld: AtomicU64,
+    /// Attempts by what their ends mean for their messages.
+    pub verdicts: VerdictCounts,
+}
+
+/// How many attempts ended with each verdict since the process started.
+#[derive(Debug, Default)]
+pub struct VerdictCounts {
+    /// Delivered.
+    pub delivered: AtomicU64,
+    /// Over elsewhere.
+    pub over: AtomicU64,
+    /// The message may have ended, and was reported.
+    pub may_have_ended: AtomicU64,
+    /// No further attempt could help.
+    pub spent: AtomicU64,
+    /// Still owed.
+    pub owed: AtomicU64,
 }
 
 impl ConnectionCounts {
+    /// Counts the verdict on an attempt.
+    pub fn judged(&self, verdict: Verdict) {
+        let VerdictCounts { delivered, over, may_have_ended, spent, owed } = &self.verdicts;
+        Self::add(match verdict {
+            Verdict::Delivered => delivered,
+            Verdict::Over => over,
+            Verdict::MayHaveEnded => may_have_ended,
+            Verdict::Spent { .. } => spent,
+            Verdict::Owed { .. } => owed,
+        });
+    }
+
     /// Counts one more.
     pub fn add(count: &AtomicU64) {
         count.fetch_add(1, Ordering::Relaxed);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -440,7 +440,8 @@
                     state.2 = state.2.saturating_sub(1);
                 }
                 self.settle(id);
-                Ok(Some(Event::Done(Done { id, attempt, target, outcome, took, over, report })))
+                let verdict = if over { Verdict::Over } else { outcome.verdict() };
+                Ok(Some(Event::Done(Done { id, attempt, target, outcome, took, verdict, report })))
             }
             "HANGUP" => {
                 let name = fields.text("Rid")?;
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -17,16 +17,16 @@
 use tulipfall::config::Config;
 use tulipfall::exchange::{Answer, CallEnd, Clock, Exchange, OutboundCall};
 use tulipfall::input::Input;
-use tulipfall::interface::{Effect, Micros, Outcome, TargetId};
+use tulipfall::interface::{Effect, Micros, Outcome, TargetId, Verdict};
 use tulipfall::net::connections::Connections;
 use tulipfall::net::http::Budget;
 use tulipfall::net::inbound::{Front, Inbound, Vocabulary, serve};
 use tulipfall::net::outbound::Outbound;
-use tulipfall::reuse::{MIN_QUIET, REST};
 use tulipfall::rules::Relay;
 use tulipfall::runtime::{Caller, Runtime};
 use tulipfall::standing::{Phase, Standing};
 use tulipfall::store::Journal;
+use verdict::reuse::{MIN_QUIET, REST};
 
 const S: Micros = 1_000_000;
 const LANE: usize = 3;
@@ -359,13 +359,19 @@
     (connection, handle)
 }
 
-/// The outcome of an attempt, and what was told of it before.
-async fn outcome(side: &mut Side) -> (Option<Outcome>, Outcome) {
+/// What was told of an attempt, in the order in which it has to be told.
+struct Told {
+    /// What the endpoint answered, while that was still to settle.
+    answered: Option<Outcome>,
+    end: CallEnd,
+}
+
+async fn told(side: &mut Side) -> Told {
     let mut answered = None;
     loop {
         match soon(side.inputs.recv()).await {
             Some(Input::Answered(answer)) => answered = Some(answer.outcome),
-            Some(Input::Ended(end)) => return (answered, end.outcome),
+            Some(Input::Ended(end)) => return Told { answered, end },
             _ => panic!("expected the end of a call"),
         }
     }
@@ -381,7 +387,9 @@
         let (mut connection, _handle) = second_call(&mut side, &endpoint).await;
         let began = side.clock.now();
         connection.write_all(bytes).await.expect("written");
-        assert_eq!(outcome(&mut side).await, (Some(expected), expected));
+        let told = told(&mut side).await;
+        assert_eq!((told.answered, told.end.outcome), (Some(expected), expected));
+        assert_eq!(told.end.verdict, expected.verdict());
         assert!(side.clock.now() - began >= MIN_QUIET, "it was watched");
     }
 }
@@ -394,9 +402,8 @@
         connection.write_all(first).await.expect("written");
         tokio::time::sleep(Duration::from_micros(MIN_QUIET as u64 / 5)).await;
         connection.write_all(then).await.expect("written");
-        let (_, end) = outcome(&mut side).await;
-        assert_eq!(end, Outcome::Spoilt);
-        assert!(end.may_have_run());
+        let end = told(&mut side).await.end;
+        assert_eq!((end.outcome, end.verdict), (Outcome::Spoilt, Verdict::MayHaveEnded));
     }
 }
 
--- a/tests/ended.rs
+++ b/tests/ended.rs
@@ -6,11 +6,12 @@
 mod stand;
 
 use std::collections::BTreeMap;
-use std::net::{TcpListener, TcpStream};
+use std::net::TcpStream;
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
-use endpoints::{Cut, Fate, Plan, Seen, Shared};
+use endpoints::{Cut, Ended, Fate, Plan, Seen, Shared};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use stand::site::configuration;
@@ -31,6 +32,8 @@
 /// Interval between kills, in milliseconds.
 const KILL_EVERY_MS: std::ops::Range<u64> = 500..800;
 const SEED: u64 = 11;
+/// Below the ports that systems choose by themselves.
+const RELAY_PORT: u16 = 9_000;
 /// Most messages of a run without kills that a 200 ended and that are called again or reported all the same. With a whole
 /// 200 there is nothing that a relay may doubt.
 const NONE: usize = 0;
@@ -88,31 +91,42 @@
     lost: Vec<String>,
 }
 
-/// Kills of the relay, and when it was ready again.
+/// A kill of the relay.
+#[derive(Debug)]
+struct Kill {
+    /// Just before it.
+    before: Instant,
+    /// When the process was gone.
+    gone: Instant,
+    /// When the next one was ready.
+    ready: Instant,
+}
+
+/// Kills of the relay.
 #[derive(Debug, Default)]
-struct Kills(Vec<(Instant, Instant)>);
+struct Kills(Vec<Kill>);
 
 impl Kills {
-    /// Whether a process was killed before what came then could be stored.
-    fn unstored(&self, at: Instant) -> bool {
-        self.0.iter().any(|(killed, ready)| at + STORED_WITHIN > *killed && at < *ready)
+    /// Whether the process that made the call was killed before its answer could be stored.
+    fn unstored(&self, ended: &Ended) -> bool {
+        self.0.iter().any(|kill| ended.called <= kill.gone && kill.before < ended.at + STORED_WITHIN)
     }
 
     /// The time by which an end that is due then has to be there.
     fn due(&self, due: Instant) -> Instant {
-        let restarts = self.0.iter().filter(|(killed, _)| *killed <= due + SLACK);
-        restarts.map(|(_, ready)| *ready + AFTER_READY).fold(due + SLACK, Instant::max)
+        let restarts = self.0.iter().filter(|kill| kill.before <= due + SLACK);
+        restarts.map(|kill| kill.ready + AFTER_READY).fold(due + SLACK, Instant::max)
     }
 }
 
 fn judge(seen: &Seen, accepted: &Accepted, kills: &Kills) -> Findings {
     let ended = |id: &String, due: Instant| {
         let due = kills.due(due);
-        let by_endpoint = seen.ended.get(id).is_some_and(|(status, at)| *status != 504 && *at <= due);
+        let by_endpoint = seen.ended.get(id).is_some_and(|ended| ended.status != 504 && ended.at <= due);
         by_endpoint || seen.reports.get(id).is_some_and(|at| *at <= due)
     };
-    let stored = |id: &&String| seen.ended.get(*id).is_some_and(|(_, at)| !kills.unstored(*at));
-    let delivered = |id: &&String| seen.ended.get(*id).is_some_and(|(status, _)| *status == 200);
+    let stored = |id: &&String| seen.ended.get(*id).is_some_and(|ended| !kills.unstored(ended));
+    let delivered = |id: &&String| seen.ended.get(*id).is_some_and(|ended| ended.status == 200);
     let sorted = |mut ids: Vec<String>| {
         ids.sort();
         ids
@@ -133,6 +147,13 @@
     Killed,
 }
 
+/// An address that stays the same through restarts, and that no other test or process has.
+fn own_address() -> String {
+    static NUMBER: AtomicU8 = AtomicU8::new(1);
+    let (number, process) = (NUMBER.fetch_add(1, Ordering::Relaxed), std::process::id());
+    format!("127.{}.{}.{number}:{RELAY_PORT}", 64 + (process >> 8 & 63), process & 255)
+}
+
 /// Plays clients, a relay and two endpoints that answer so. Prints what was seen.
 fn play(name: &str, status: u16, fate: &Fate, relay: Relay) -> (Findings, usize) {
     let seen = Shared::default();
@@ -142,9 +163,7 @@
     let folder = folder(name);
     let mut file = configuration(&addresses);
     file["discovery"] = endpoints::agent(&seen).into();
-    // A port that stays the same through restarts.
-    let listen =
-        TcpListener::bind("127.0.0.1:0").expect("a socket").local_addr().expect("an address").to_string();
+    let listen = own_address();
     file["listen"] = listen.clone().into();
     let (config, state) = (folder.join("config.json"), folder.join("state"));
     std::fs::write(&config, file.to_string()).expect("a file");
@@ -160,10 +179,11 @@
         let (until, mut rng) = (Instant::now() + LASTING, SmallRng::seed_from_u64(SEED));
         while relay == Relay::Killed && Instant::now() < until {
             std::thread::sleep(Duration::from_millis(rng.random_range(KILL_EVERY_MS)));
-            let killed = Instant::now();
+            let before = Instant::now();
             program.kill();
+            let gone = Instant::now();
             program = start();
-            kills.0.push((killed, Instant::now()));
+            kills.0.push(Kill { before, gone, ready: Instant::now() });
         }
     });
     std::thread::sleep(Duration::from_millis(TIME_LEFT_MS) + SLACK);
--- a/tests/ended/endpoints.rs
+++ b/tests/ended/endpoints.rs
@@ -70,13 +70,24 @@
     pub fate: Fate,
 }
 
+/// An answer that ended a message.
+#[derive(Clone, Copy, Debug)]
+pub struct Ended {
+    /// Its status.
+    pub status: u16,
+    /// When the call came.
+    pub called: Instant,
+    /// When its first line was written.
+    pub at: Instant,
+}
+
 /// What all endpoints and the agent saw.
 #[derive(Debug, Default)]
 pub struct Seen {
     /// Messages that were called, and how often.
     pub calls: HashMap<String, u32>,
-    /// When a first line that ends the message was written, by status.
-    pub ended: HashMap<String, (u16, Instant)>,
+    /// The first answer that ended each message.
+    pub ended: HashMap<String, Ended>,
     /// When the answer that is played was written, for each message that got it.
     pub played: HashMap<String, Instant>,
     /// Messages that were called after the answer that is played, or after a 200.
@@ -135,7 +146,7 @@
 }
 
 /// Notes a call; whether it is the message's first one.
-fn called(seen: &Shared, id: &str) -> bool {
+fn note(seen: &Shared, id: &str) -> bool {
     let mut seen = seen.lock().expect("no panic");
     if seen.ended.contains_key(id) {
         seen.called_again.insert(id.into());
@@ -149,7 +160,7 @@
     let _ = stream.set_nodelay(true);
     while let Some(request) = hear(&mut stream) {
         let id = request.header("X-Correlation-Id").unwrap_or_default().to_string();
-        let first = called(seen, &id);
+        let (first, called) = (note(seen, &id), Instant::now());
         std::thread::sleep(Duration::from_millis(rng.random_range(WORK_MS)));
         let played = first && rng.random_bool(PLAYED);
         let status = match () {
@@ -160,7 +171,7 @@
         // Noted first, as the relay may act on the answer before the note.
         if played || status == 200 {
             let mut seen = seen.lock().expect("no panic");
-            seen.ended.insert(id.clone(), (status, Instant::now()));
+            seen.ended.entry(id.clone()).or_insert(Ended { status, called, at: Instant::now() });
             if played {
                 seen.played.insert(id, Instant::now());
             }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -152,7 +152,7 @@
         target: TargetId(1),
         outcome: Outcome::Full(None),
         took: MS,
-        over: false,
+        verdict: Outcome::Full(None).verdict(),
         report,
     }));
     assert_eq!(sent_at(&rig.pass(2 * S)), [(start + S, 1)], "twice half a second");
--- a/tests/outage.rs
+++ b/tests/outage.rs
@@ -161,7 +161,7 @@
             attempt: call.attempt,
             target: call.target,
             outcome,
-            over: false,
+            verdict: outcome.verdict(),
             began: self.clock.now(),
             answered: None,
             report: Report::default(),
--- a/tests/rig/mod.rs
+++ b/tests/rig/mod.rs
@@ -149,7 +149,7 @@
             target: TargetId(target),
             outcome,
             took: 100 * MS,
-            over: outcome == Outcome::Ok,
+            verdict: outcome.verdict(),
             report: Report::default(),
         }))
     }
--- a/tests/trouble.rs
+++ b/tests/trouble.rs
@@ -91,7 +91,7 @@
                 target: TargetId(1),
                 outcome,
                 took: MS,
-                over: false,
+                verdict: outcome.verdict(),
                 report,
             };
             rig.event(Event::Done(done));
@@ -133,7 +133,7 @@
             target: TargetId(1),
             outcome: Outcome::TimedOut,
             took: 100 * MS,
-            over: true,
+            verdict: Verdict::Over,
             report: Report::default(),
         }));
     }
@@ -261,7 +261,7 @@
     let done = |id: u64| {
         let (id, target, outcome) = (MessageId(id), TargetId(1), Outcome::TimedOut);
         let report = Report::default();
-        Event::Done(Done { id, attempt: 0, target, outcome, took: 4 * S, over: false, report })
+        Event::Done(Done { id, attempt: 0, target, outcome, took: 4 * S, verdict: outcome.verdict(), report })
     };
     assert_eq!(sent(&rig.event(done(1))), [1]);
     assert_eq!(sent(&rig.event(done(2))), [] as [u64; 0], "the endpoint is tried singly");
