Take the end of a connection for what it is, and not for a sign of a copy

What callers saw: messages that a 200 had delivered were called again or reported as not delivered where their endpoint closed after it (idle limit, most requests a connection, restart). Cause: since each end of a connection put all answers in doubt that had not settled, as a surplus does (Settling told one thing for both). Change: settling tells what came after (quiet, an end, a surplus). An end leaves an answer its call's own, unless its endpoint, or several others, wrote unasked within the time for which reuse is withheld, twice over (ReusePolicy::suspects). The row of 410 differs: of that any doubt ends by a report, which does no harm. What runs into another answer is a surplus. Left: a copy that is the first an endpoint shows, followed at once by the end of its connection, is taken for the call's answer.

--- a/crates/verdict/src/heard.rs
+++ b/crates/verdict/src/heard.rs
@@ -33,6 +33,13 @@
         }
     }
 
+    fn class(self) -> Option<StatusClass> {
+        match self {
+            Extent::Nothing | Extent::PartOfLine(_) | Extent::Unreadable => None,
+            Extent::FirstLine(class) | Extent::Whole(class) => Some(class),
+        }
+    }
+
     /// What it says if it is the call's own.
     fn own(self) -> Worlds {
         match self {
@@ -95,6 +102,8 @@
     pub position: Position,
     /// What came after it.
     pub after: After,
+    /// The endpoint has written unasked lately, so that an answer may be a copy.
+    pub suspect: bool,
 }
 
 impl Heard {
@@ -114,7 +123,11 @@
         match (self.position, self.after) {
             (Position::First, _) | (Position::Later, After::Settled) => own,
             (Position::Later, After::Surplus) => Worlds::ALL,
-            (Position::Later, After::Ended) => own.or(Worlds::UNANSWERED),
+            (Position::Later, After::Ended) if self.suspect => own.or(Worlds::UNANSWERED),
+            (Position::Later, After::Ended) => match self.extent.class() {
+                Some(class) => class.unsettled(own),
+                None => own,
+            },
         }
     }
 
--- a/crates/verdict/src/reuse.rs
+++ b/crates/verdict/src/reuse.rs
@@ -114,6 +114,12 @@
         everywhere || self.endpoints.get(endpoint).is_some_and(|endpoint| endpoint.withheld(now))
     }
 
+    /// Whether an answer of an endpoint may well be a copy: it, or several others, wrote unasked lately.
+    pub fn suspects(&self, endpoint: &K, now: Micros) -> bool {
+        let shown = self.endpoints.get(endpoint).and_then(|endpoint| endpoint.withheld);
+        [self.everywhere, shown].into_iter().flatten().any(|withheld| withheld.remembered(now))
+    }
+
     /// The time until which a connection has to stay quiet before an answer counts that may be a copy: the answer to the
     /// call itself would have come by then.
     pub fn quiet_until(&self, endpoint: &K, sent: Micros, answered: Micros) -> Micros {
--- a/crates/verdict/src/status.rs
+++ b/crates/verdict/src/status.rs
@@ -67,6 +67,21 @@
         }
     }
 
+    /// What it says, `own` being what it says as the call's own, where the connection carried calls before and ended before the
+    /// answer had settled, and the endpoint has shown nothing that came unasked.
+    pub const fn unsettled(self, own: Worlds) -> Worlds {
+        match self {
+            // Rare, and a report does no harm: here a message lost to a copy would be the greater harm.
+            StatusClass::Over => own.or(Worlds::UNANSWERED),
+            // An end of the connection is ordinary HTTP and no sign of a copy.
+            StatusClass::Delivered
+            | StatusClass::OtherSuccess
+            | StatusClass::TurnedAway
+            | StatusClass::Spent
+            | StatusClass::Failed => own,
+        }
+    }
+
     /// Whether the connection may carry another call after such an answer. A copy of one that ends a message is never taken for the
     /// refusal of another call, so that connections on which all answers were such show no false refusal by a copy.
     pub const fn carries_more(self) -> bool {
--- a/src/net/connections.rs
+++ b/src/net/connections.rs
@@ -203,7 +203,7 @@
         let answer = self.settle(answered, progress).await;
         let doubtful = match progress.heard.after {
             After::Surplus => true,
-            After::Ended => progress.heard.settles(),
+            After::Ended => progress.heard.settles() && progress.heard.suspect,
             After::Settled => false,
         };
         if doubtful { Err(Outcome::Spoilt) } else { Ok(answer) }
@@ -229,6 +229,7 @@
         };
         tokio::pin!(limit);
         let answered = self.exchange(place, call, request, progress, limit).await;
+        progress.heard.suspect = self.suspects(place);
         let answered = answered?;
         progress.answered = Some(answered.at);
         // It binds from now on, however long the answer takes to settle.
@@ -238,6 +239,10 @@
         Ok(answered)
     }
 
+    fn suspects(&self, place: &Place) -> bool {
+        self.watch.policy().suspects(place, self.clock.now())
+    }
+
     /// Room for the connection of an answer that is still to settle, so that its call need not be counted as one that is out.
     /// `None` where nothing is left to settle, or there is no room.
     pub fn release(&self, answered: &Answered, progress: &Progress) -> Option<OwnedSemaphorePermit> {
@@ -267,6 +272,7 @@
         let by = self.clock.instant(watched_until.saturating_add(SETTLED_WITHIN));
         let after = tokio::time::timeout_at(by, settled).await;
         progress.heard.after = after.ok().and_then(Result::ok).unwrap_or(After::Ended);
+        progress.heard.suspect = self.suspects(&place);
         if progress.heard.after == After::Surplus {
             ConnectionCounts::add(&self.watch.counts.doubtful);
         }
@@ -299,6 +305,7 @@
             outcome = &mut limit => return Err(outcome),
         };
         progress.heard.position = Position::after(connection.calls);
+        progress.heard.suspect = self.suspects(place);
         (progress.connection, progress.calls_before) = (Some(connection.number), connection.calls);
         progress.rested = self.clock.now() - since;
         let withdrawn = async {
