--- a/crates/rig/src/soak/findings.rs
+++ b/crates/rig/src/soak/findings.rs
@@ -55,18 +55,23 @@
     pub(super) store_fails: bool,
     /// Something comes that nobody asked for.
     pub(super) surplus: bool,
+    /// Processes stand still now and then.
+    pub(super) frozen: bool,
 }
 
-/// What is done so soon after an answer may have been decided before it was heard: a relay may stand still for so long, in seconds.
-const HEARD_WITHIN_S: f64 = 0.2;
+/// What is done so soon after an answer may have been decided before it was heard, in seconds.
+const HEARD_WITHIN_S: f64 = 0.05;
+/// The same where processes stand still.
+const HEARD_FROZEN_S: f64 = 0.2;
 /// What an answer says is stored so soon, in seconds; a kill after that finds it.
 const STORED_WITHIN_S: f64 = 0.05;
 
 /// The findings about messages that an endpoint had ended: called again, or reported though delivered.
 pub(super) fn find_after_end(log: &Log, heard: &[HeardEnd], doubt: Doubt) -> Vec<Finding> {
     let mut findings = Vec::new();
+    let within_s = if doubt.frozen { HEARD_FROZEN_S } else { HEARD_WITHIN_S };
     for end in heard.iter().filter(|end| matches!(end.status, 200 | 410)) {
-        let later = |at_s: f64| at_s > end.at_s + HEARD_WITHIN_S && knows(log, end, at_s, doubt);
+        let later = |at_s: f64| at_s > end.at_s + within_s && knows(log, end, at_s, doubt);
         let again = log.calls.iter().find(|call| call.id == end.id && later(call.at_s));
         findings.extend(again.map(|call| Finding {
             rule: "a message was sent on after its end",
@@ -125,7 +130,8 @@
         assert_eq!(rules(&log(1.5), 200, sure), [SENT_ON, REPORTED]);
         assert_eq!(rules(&log(1.5), 200, Doubt { surplus: true, ..sure }), [SENT_ON]);
         assert_eq!(rules(&log(1.5), 503, sure), [] as [&str; 0]);
-        assert_eq!(rules(&log(1.1), 200, sure), [] as [&str; 0], "it may have been decided before");
+        assert_eq!(rules(&log(1.1), 410, sure), [SENT_ON]);
+        assert_eq!(rules(&log(1.1), 410, Doubt { frozen: true, ..sure }), [] as [&str; 0], "decided before");
     }
 
     #[test]
--- a/crates/rig/src/soak/run.rs
+++ b/crates/rig/src/soak/run.rs
@@ -138,7 +138,11 @@
     // Where reads were made to fail, nobody knows what a relay heard.
     if !broken {
         let heard = heard(&proxies, &clock);
-        let doubt = Doubt { store_fails: shared.chaos.store_fails(), surplus: shared.chaos.adds() };
+        let doubt = Doubt {
+            store_fails: shared.chaos.store_fails(),
+            surplus: shared.chaos.adds(),
+            frozen: shared.chaos.has(Kind::Freeze),
+        };
         findings.extend(book.with(|log| find_after_end(log, &heard, doubt)));
     }
     let lag_ms = lag.p99_ms();
