Play kills in the middle of an answer, shutdowns, and deaths right after a handover

With the successor not told what was heard the last test fails: the message is called again by the process that starts next.

--- a/tests/ended.rs
+++ b/tests/ended.rs
@@ -142,6 +142,27 @@
     Stays,
     /// SIGKILL now and then, and at once a new process.
     Killed,
+    /// SIGTERM, SIGKILL at the protocol's earliest time, and at once a new process.
+    Terminated,
+}
+
+/// A process that was told to end is killed after this at the soonest.
+const KILLED_AFTER: Duration = Duration::from_millis(3_700);
+
+impl Relay {
+    /// Ends a process; tells when that began, as far as what it heard may be lost by it.
+    fn end(self, program: &mut Program) -> Instant {
+        let began = Instant::now();
+        if self == Relay::Terminated {
+            program.signal("-TERM");
+            while program.runs() && began.elapsed() < KILLED_AFTER {
+                std::thread::sleep(Duration::from_millis(5));
+            }
+        }
+        let before = Instant::now();
+        program.kill();
+        before
+    }
 }
 
 /// An address that stays the same through restarts, and that no other test or process has.
@@ -174,10 +195,9 @@
             scope.spawn(move || client(address, number, destinations, accepted));
         }
         let (until, mut rng) = (Instant::now() + LASTING, SmallRng::seed_from_u64(SEED));
-        while relay == Relay::Killed && Instant::now() < until {
+        while relay != Relay::Stays && Instant::now() < until {
             std::thread::sleep(Duration::from_millis(rng.random_range(KILL_EVERY_MS)));
-            let before = Instant::now();
-            program.kill();
+            let before = relay.end(&mut program);
             let gone = Instant::now();
             program = start();
             kills.0.push(Kill { before, gone, ready: Instant::now() });
@@ -307,6 +327,21 @@
     assert_eq!(found.reported, Vec::<String>::new(), "reported though delivered");
 }
 
+#[test]
+fn a_message_that_is_over_is_not_sent_on_by_a_process_that_starts_after_a_kill_in_the_middle_of_its_answer() {
+    let stalled = Fate::Stalled(Cut::FirstLine, 50..600);
+    let (found, _) = play("ended-killed-stalled", 410, &stalled, Relay::Killed);
+    assert_eq!((found.sent_on, found.lost), (vec![], vec![]));
+    assert_eq!(found.reported, Vec::<String>::new(), "reported though delivered");
+}
+
+#[test]
+fn a_message_that_is_over_is_not_sent_on_by_a_process_that_starts_after_a_shutdown() {
+    let (found, _) = play("ended-terminated", 410, &Fate::Closed(2..300), Relay::Terminated);
+    assert_eq!((found.sent_on, found.lost), (vec![], vec![]));
+    assert_eq!(found.reported, Vec::<String>::new(), "reported though delivered");
+}
+
 #[test]
 fn a_delivered_message_is_neither_sent_on_nor_reported_though_its_connection_is_closed_at_once() {
     ends("delivered-closed", 200, &Fate::Closed(0..1));
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -421,6 +421,36 @@
     }
 }
 
+#[test]
+fn what_the_old_process_hears_to_be_over_is_not_sent_on_though_either_process_dies() {
+    for dies in ["old", "new"] {
+        let scene = Scene::new(&format!("upgrade-heard-{dies}"));
+        let mut old = scene.start();
+        let mut kept = connect(&scene.listen());
+        assert_eq!(status(&mut kept, &hand("status-update", "s1", 0)), 202);
+        let mut call = accept(&scene.endpoints[0]);
+        assert_eq!(id(&hear(&mut call).expect("a call")), "s1");
+        let mut new = scene.launch_with(&[("TULIPFALL_LOG", "debug")]);
+        new.wait_ready(1);
+        call.write_all(b"HTTP/1.1 410 Gone\r\n").expect("written");
+        new.logged("heard");
+        // What is accepted after that is stored behind it.
+        assert_eq!(status(&mut connect(&scene.listen()), &hand("status-update", "s0", 1)), 202);
+        if dies == "old" {
+            old.kill();
+        } else {
+            new.kill();
+            old.kill();
+            new = scene.start();
+        }
+        let mut fresh = connect(&scene.listen());
+        assert_eq!(status(&mut fresh, &hand("status-update", "s2", 0)), 202);
+        let mut next = accept(&scene.endpoints[0]);
+        assert_eq!(id(&hear(&mut next).expect("a call")), "s2", "{dies}: the message is over");
+        drop((call, new));
+    }
+}
+
 #[test]
 fn a_start_with_no_listening_socket_is_an_error_that_names_the_variable() {
     let scene = Scene::new("upgrade-no-socket");
