Keep a message whose client got a part of the answer that accepts it

What callers would see: a message whose 202 breaks off under its write is never delivered and never reported, though its client heard the first line. Cause: Inbound withdrew a message whenever its answer could not be written whole; a client that got a part may have heard enough. Change: it is withdrawn only where no byte of the answer went out; what a relay still sends for a client that heard nothing counts for nothing. The test, with writes that fail after a part, failed before: no delivery within 8 s.

--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -354,14 +354,16 @@
         };
         answer.keep_alive &= *leaving.borrow_and_update() == Leaving::No;
         let until = clock.instant(clock.now() + ANSWER_WITHIN);
-        let sent = tokio::time::timeout_at(until, framed.send(&answer)).await;
+        let mut untouched = true;
+        let sent = tokio::time::timeout_at(until, send_whole(&mut framed, &answer, &mut untouched)).await;
         inbound.busy.fetch_sub(1, Ordering::Relaxed);
         if !matches!(sent, Ok(Ok(()))) {
             match sent {
                 Ok(Err(error)) => place.closed(&format!("the answer cannot be written: {error}")),
                 _ => place.closed("the answer is not taken"),
             }
-            if let Some(id) = taken {
+            // A client that got a part of the answer may have heard enough of it.
+            if let Some(id) = taken.filter(|_| untouched) {
                 let _ = inbound.inputs.send(Input::Withdrawn(id)).await;
             }
             return;
@@ -375,6 +377,20 @@
     }
 }
 
+/// Sends an answer; `untouched` says whether no byte of it went out.
+async fn send_whole(
+    framed: &mut Framed<Stream, Codec>, answer: &Message, untouched: &mut bool,
+) -> Result<(), HttpError> {
+    framed.feed(answer).await?;
+    let whole = framed.write_buffer().len();
+    std::future::poll_fn(|context| {
+        let flushed = framed.poll_flush_unpin(context);
+        *untouched = framed.write_buffer().len() == whole;
+        flushed
+    })
+    .await
+}
+
 /// Whether bytes after a request may be the next one: none, or a method.
 fn may_begin(bytes: &[u8]) -> bool {
     let line = bytes.trim_ascii_start();
--- a/tests/faults.rs
+++ b/tests/faults.rs
@@ -3,7 +3,7 @@
 mod stand;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -386,6 +386,24 @@
     outlives_disk("faults-eintr", &faults, 7);
 }
 
+#[test]
+fn a_message_whose_client_heard_a_part_of_the_acceptance_is_still_delivered() {
+    let endpoint = Endpoint::start();
+    let relay = Relay::new("faults-half-accepted", &endpoint);
+    let torn = "[[fault]]\ncall = \"send\"\neffect = \"torn\"\nerror = \"EPIPE\"\nprobability = 1.0\nfrom_ms = 0\nto_ms = 2000\n";
+    let _program = relay.start(torn, 1);
+    let mut stream = connect(&relay.address);
+    stream.write_all(&handed_in("status-update", "half", 0, 8_000, b"body")).expect("written");
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    assert!(answer.starts_with(b"HTTP/1.1 202"), "{:?}", String::from_utf8_lossy(&answer));
+    let by = Instant::now() + Duration::from_secs(8);
+    while endpoint.ids() != ["half"] {
+        assert!(Instant::now() < by, "its client may have heard that it was accepted");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
 #[test]
 fn short_reads_and_writes_leave_nothing_unanswered() {
     let faults: String = ["recv", "send", "read", "write"]
