Wait for earlier answers to settle only while nothing of the next one came

Cause: where a part of an answer came before earlier answers on its connection were due, the reader's wait ended at once, again and again, until more came or the call's time was up. Found by reading, not measured. Change: their time is waited for only while nothing came.

--- a/src/net/answer.rs
+++ b/src/net/answer.rs
@@ -100,26 +100,32 @@
     where
         L: Future<Output = Outcome>,
     {
-        let due = self.connection.settling.due().unwrap_or(Micros::MAX).min(self.rest_by);
+        let settling = self.connection.settling.due().filter(|_| self.untouched());
+        let due = settling.unwrap_or(Micros::MAX).min(self.rest_by);
         let given_up = self.given_up.is_some();
         tokio::select! {
             biased;
             part = self.connection.framed.next() => Some(part),
             outcome = &mut limit, if !given_up => {
                 self.given_up = Some(outcome);
-                self.rest_by = self.rest_by.min(self.clock.now() + LAST_LOOK);
-                if self.connection.unread() { None } else { self.rest_by = self.clock.now(); None }
+                let look = if self.connection.unread() { LAST_LOOK } else { 0 };
+                self.rest_by = self.rest_by.min(self.clock.now() + look);
+                None
             }
             () = tokio::time::sleep_until(self.clock.instant(due)) => None,
         }
     }
 
+    /// Whether nothing of an answer came.
+    fn untouched(&self) -> bool {
+        self.progress.first.is_none() && self.connection.framed.read_buffer().is_empty()
+    }
+
     /// Settles earlier answers that are due, if nothing came: what they may be copies for would have come first. Tells how the call
     /// ends, if its time is up.
     fn timed_out(&mut self) -> Option<Ending> {
         let now = self.clock.now();
-        let untouched = self.progress.first.is_none() && self.connection.framed.read_buffer().is_empty();
-        if untouched && self.connection.settling.due().is_some_and(|due| due <= now) {
+        if self.untouched() && self.connection.settling.due().is_some_and(|due| due <= now) {
             self.connection.settling.conclude(After::Settled);
         }
         if now < self.rest_by {
@@ -145,7 +151,7 @@
 
     /// Notes what was heard of an answer that is not whole; the outcome of the call.
     fn ended(&mut self, ending: Ending) -> Outcome {
-        let nothing = self.progress.first.is_none() && self.connection.framed.read_buffer().is_empty();
+        let nothing = self.untouched();
         self.progress.part_of_line(self.connection.framed.read_buffer());
         match ending {
             Ending::GivenUp(outcome) => outcome,
