--- a/crates/rig/src/soak_command.rs
+++ b/crates/rig/src/soak_command.rs
@@ -15,7 +15,7 @@
 const SLOW_PART: u64 = 10;
 
 /// A seed is run so often again in which the machine did not keep up.
-const RUNS_AGAIN: u32 = 1;
+const RUNS_AGAIN: u32 = 2;
 
 /// Arguments of `rig soak`.
 #[derive(Args)]
@@ -67,7 +67,7 @@
     })
 }
 
-/// Runs a seed, and once more where the machine did not keep up: such a run shows nothing.
+/// Runs a seed, and up to twice more where the machine did not keep up: such a run shows nothing.
 fn run_until_it_counts(args: &SoakArgs, file: &SoakFile, seed: u64, build: &Build) -> Result<SoakOutcome> {
     for _ in 0..RUNS_AGAIN {
         let outcome = run_once(args, file, seed, build)?;
