--- a/review/3/play.py
+++ b/review/3/play.py
@@ -10,7 +10,8 @@
 
 PARTNERS = 3
 LEFT_MS = 16000
-WAIT_S = 3.0
+# The partners shut for as long.
+WAIT_S = 8.0
 # Calls that come within 100 ms are let through; every time limit is 50 ms longer.
 LET_THROUGH_S = 0.15
 # How long a partner serves, in turn: usual calls and slow ones.
