Refuse a message whose id belongs to a message with another content

Cause: an id that is held or ended within 15 s was answered as accepted before, whatever class, tenant, destination, key or body the request had. The same cause on related paths: ended ids, ids passed on by a handover, and withdrawn ids, whose attempts counted against any content that came under the id.

Change: accepted before is only the same content; another one is refused with 503, after which handing it in again is harmless, as nothing of it was sent. A withdrawn message of which nothing was sent leaves its id to any content.

Ruled out: requests mixed up while they are read in pieces (body, class and destination of a call are those of one request), and a message that was held and dropped later (one end in the log, of the other message).

--- a/src/exchange.rs
+++ b/src/exchange.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use record::model::Evidence;
 use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 
 pub use crate::clock::Clock;
 
@@ -100,15 +101,37 @@
         (id, class, tenant, destination) == (&other.id, &other.class, &other.tenant, &other.destination)
             && (idempotency_key, body) == (&other.idempotency_key, &other.body)
     }
+
+    /// The digest of the content: equal for two submissions whose content [is the same](Self::has_same_content).
+    pub fn content_digest(&self) -> ContentDigest {
+        let Exchange { id, class, tenant, destination, idempotency_key, body, due: _ } = self;
+        let tenant = tenant.as_ref().map(String::as_bytes);
+        let key = idempotency_key.as_ref().map(|key| key.as_str().as_bytes());
+        let mut hasher = Sha256::new();
+        hasher.update(destination.to_be_bytes());
+        for field in [Some(id.as_bytes()), Some(class.as_bytes()), tenant, key, Some(body)] {
+            // The length keeps fields apart, and an absent field from an empty one.
+            hasher.update(field.map_or(u64::MAX, |bytes| bytes.len() as u64).to_be_bytes());
+            hasher.update(field.unwrap_or_default());
+        }
+        let digest = hasher.finalize();
+        let half =
+            |from: usize| digest[from..from + 8].iter().fold(0, |sum, byte| sum << 8 | u64::from(*byte));
+        ContentDigest(half(0), half(8))
+    }
 }
 
+/// Digest of the content of a message: the first 16 bytes of a SHA-256.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ContentDigest(u64, u64);
+
 /// Answer of the runtime to a submitted message.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
     /// Accepted: the relay will deliver the message or report that it did not.
     #[serde(rename = "Taken")]
     Accepted,
-    /// A message with this id was accepted before, whichever client submitted it.
+    /// The same message was accepted before, whichever client submitted it.
     #[serde(rename = "TakenBefore")]
     AlreadyAccepted,
     /// Refused at once, with the reason. Submitting the message again is harmless, preferably after this delay in microseconds.
--- a/src/handed.rs
+++ b/src/handed.rs
@@ -7,7 +7,7 @@
 use tokio::sync::oneshot;
 
 use crate::classes::Classes;
-use crate::exchange::Exchange;
+use crate::exchange::{ContentDigest, Exchange};
 use crate::interface::{MessageId, Micros, TargetId};
 use crate::rules::Relay;
 use crate::store::JournalPosition;
@@ -88,6 +88,9 @@
     /// Those among them that were withdrawn, with their attempts. Earlier builds do not hand them over.
     #[serde(default)]
     pub withdrawn: Vec<(Arc<str>, PastAttempts)>,
+    /// The contents of the messages that ended recently. Earlier builds do not hand them over.
+    #[serde(default)]
+    pub ended_contents: Vec<(Arc<str>, ContentDigest)>,
     /// The version of the destination set.
     #[serde(default)]
     pub revision: i64,
--- a/src/runtime/handover.rs
+++ b/src/runtime/handover.rs
@@ -45,6 +45,7 @@
             timers: self.timers.iter().copied().collect(),
             ended: self.ended.iter().cloned().collect(),
             withdrawn: self.ended.iter_withdrawn().collect(),
+            ended_contents: self.ended.iter_contents().collect(),
             revision: self.revision.load(Ordering::Relaxed),
             standby: self.status.standby(),
         }
@@ -120,6 +121,7 @@
             timers,
             ended,
             withdrawn,
+            ended_contents,
             ..
         } = handed;
         (self.relay, self.names, self.classes, self.messages_seen) = (relay, names, classes, messages_seen);
@@ -127,10 +129,12 @@
         self.destinations = destinations.into_iter().collect();
         self.timers = timers.into_iter().collect();
         let withdrawn: HashMap<_, _> = withdrawn.into_iter().collect();
+        let contents: HashMap<_, _> = ended_contents.into_iter().collect();
         for (at, id) in &ended {
+            let content = contents.get(id).copied();
             match withdrawn.get(id) {
-                Some(attempts) => self.ended.remember_withdrawn(*at, id, *attempts),
-                None => self.ended.remember(*at, id),
+                Some(attempts) => self.ended.remember_withdrawn(*at, id, *attempts, content),
+                None => self.ended.remember(*at, id, content),
             }
         }
         held
--- a/src/runtime/intake.rs
+++ b/src/runtime/intake.rs
@@ -12,10 +12,12 @@
 use crate::store::{Record, Stored};
 
 use super::effects::Reply;
+use super::ended::KnownId;
 use super::{Effect, Held, Runtime};
 
-/// Answer to a submission whose id belongs to a different message that was withdrawn, while a call of that one is in flight.
-const WITHDRAWN_IN_FLIGHT: &str = "a withdrawn message of this id is in flight";
+/// Answer to a submission whose id belongs to a message with another content, which is held or ended recently. Nothing of this
+/// one was sent, so submitting it again, under an id of its own, is harmless.
+const ID_IN_USE: &str = "another message has this id";
 
 impl Runtime {
     /// Processes the submission of a message. It is accepted if there is room for it and the module does not give it up at once.
@@ -30,15 +32,15 @@
         let key_bytes = exchange.idempotency_key.as_ref().map_or(0, |key| key.as_str().len());
         let bytes =
             exchange.body.len() + key_bytes + receipt_bytes + self.journal.reserved_per_message() as usize;
-        if let Some(answer) = self.resubmitted(&exchange) {
-            return self.effects.push(reply(answer));
-        }
+        let past = match self.resubmitted(&exchange) {
+            Ok(past) => past,
+            Err(answer) => return self.effects.push(reply(answer)),
+        };
         let class = match self.admit(&exchange, bytes) {
             Ok(class) => class,
             Err(answer) => return self.effects.push(reply(answer)),
         };
         let trace = self.outbox.is_some().then(|| Trace::new(self.clock.now()));
-        let past = self.ended.withdrawn(&exchange.id).unwrap_or_default();
         let arrival = self.arrival(exchange.clone(), class, past.count, trace.clone());
         let id = arrival.id;
         let event = match past {
@@ -59,23 +61,29 @@
         self.carry_out(actions);
     }
 
-    /// The answer to the submission of an id under which a message is held or has ended for good. None if the message is to
-    /// be accepted as a new one: the id is unknown, or its message was withdrawn before any client was told of it.
-    fn resubmitted(&mut self, exchange: &Exchange) -> Option<Answer> {
+    /// The attempts made before for a message that is to be accepted: its id is unknown, or it was withdrawn before any client
+    /// was told of it. Otherwise the answer to the submission of an id under which a message is held or has ended: it was
+    /// accepted before only if the content is the same, as the client of another content is owed that one's delivery.
+    fn resubmitted(&mut self, exchange: &Exchange) -> Result<PastAttempts, Answer> {
         let held = self.ids.get(&exchange.id).and_then(|id| Some((*id, self.held.get_mut(id)?)));
         let Some((id, held)) = held else {
-            return self.ended.contains(&exchange.id).then_some(Answer::AlreadyAccepted);
+            return match self.ended.lookup(exchange) {
+                KnownId::New => Ok(PastAttempts::default()),
+                KnownId::Withdrawn(attempts) => Ok(attempts),
+                KnownId::Ended => Err(Answer::AlreadyAccepted),
+                KnownId::OtherContent => Err(Answer::Refused(ID_IN_USE.into(), None)),
+            };
         };
-        let withdrawn = held.withdrawn;
-        if withdrawn && !held.exchange.has_same_content(exchange) {
-            return Some(Answer::Refused(WITHDRAWN_IN_FLIGHT.into(), None));
+        if !held.exchange.has_same_content(exchange) {
+            return Err(Answer::Refused(ID_IN_USE.into(), None));
         }
+        let withdrawn = held.withdrawn;
         (held.acknowledged_again, held.withdrawn) = (true, false);
         if withdrawn {
             debug!(message = exchange.id, "submitted again after its client had left");
             self.handle(Event::Resubmitted(id));
         }
-        Some(Answer::AlreadyAccepted)
+        Err(Answer::AlreadyAccepted)
     }
 
     /// Checks a message against what memory, disk and the module can hold, before anything is promised. Returns the
@@ -172,9 +180,10 @@
 
     /// Ends a withdrawn message that no call delivered. A further submission of its id is accepted.
     pub(super) fn finish_withdrawn(&mut self, message: MessageId, attempts: PastAttempts) {
-        let Some(id) = self.held.get(&message).map(|held| held.exchange.id.clone()) else { return };
+        let Some(exchange) = self.held.get(&message).map(|held| held.exchange.clone()) else { return };
         self.finish(message, RecordedOutcome::Withdrawn, None);
-        self.ended.remember_withdrawn(self.clock.now(), &id, attempts);
+        let content = Some(exchange.content_digest());
+        self.ended.remember_withdrawn(self.clock.now(), &exchange.id, attempts, content);
     }
 }
 
--- a/src/runtime/outcomes.rs
+++ b/src/runtime/outcomes.rs
@@ -159,7 +159,7 @@
         let (now, id) = (self.clock.now(), exchange.id.clone());
         let attempts = trace.as_ref().map(|trace| trace.attempts.len());
         debug!(message = id, destination = exchange.destination, outcome = outcome.word(), attempts, "ended");
-        self.ended.remember(now, &id);
+        self.ended.remember(now, &id, Some(exchange.content_digest()));
         if let Some(notice) = notice.clone() {
             self.unacknowledged.insert(id.clone());
             self.effects.push(Effect::Notice(notice, exchange.due));
