Count all memory of incomplete requests in the budget for reading

Callers saw: with hundreds of clients that stop within heads or bodies a process passes its memory limit and is killed. Here 43.0 MB of 32, with 1,024 descriptors, 123 messages of 65 KB held and 700 clients that reconnect.

Cause: the budget counted the stated length of a body. Incomplete heads (32 KB of buffer for 16 KB of text), buffers that grow to twice what they hold, the second buffer of a chunked body and requests that wait for their answer stood beside it.

Change: a connection reserves the capacity of its buffers beyond 6 KB, until its request is answered. A body's buffer grows to its length at once, chunk data is moved as it arrives, large buffers are given back. Small requests need no reservation. Read buffers start at 4 KB, lingering connections read into 2 KB.

Ruled out as the cause alone: messages held (within their quarter) and idle connections (17 KB each, now 12).

--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -16,7 +16,7 @@
 use tokio_util::codec::Framed;
 use tracing::{info, warn};
 
-use super::http::{Codec, HttpError, MemoryBudget, Message, Start};
+use super::http::{Codec, HttpError, MAX_HEAD_BUFFER_BYTES, MemoryBudget, Message, READ_BUFFER_BYTES, Start};
 use super::stream::Stream;
 use crate::exchange::Clock;
 use crate::interface::Micros;
@@ -54,7 +54,7 @@
 
 async fn serve(listener: TcpListener, standing: Arc<ProcessStatus>, clock: Clock) -> std::io::Result<()> {
     let listener = tokio::net::TcpListener::from_std(listener)?;
-    let budget = MemoryBudget::new(MAX_CONNECTIONS * MAX_BODY_BYTES);
+    let budget = MemoryBudget::new(MAX_CONNECTIONS * (MAX_BODY_BYTES + MAX_HEAD_BUFFER_BYTES));
     let mut connections = JoinSet::new();
     let mut order: VecDeque<AbortHandle> = VecDeque::new();
     let mut reserve = File::open("/dev/null").ok();
@@ -103,7 +103,8 @@
     stream: TcpStream, standing: Arc<ProcessStatus>, clock: Clock, budget: Arc<MemoryBudget>,
 ) {
     let _ = stream.set_nodelay(true);
-    let mut framed = Framed::new(Stream::new(stream), Codec::server(MAX_BODY_BYTES, budget));
+    let codec = Codec::server(MAX_BODY_BYTES, budget);
+    let mut framed = Framed::with_capacity(Stream::new(stream), codec, READ_BUFFER_BYTES);
     let by = clock.instant(clock.now() + REQUEST_TIMEOUT);
     let mut response = match tokio::time::timeout_at(by, framed.next()).await {
         Ok(None | Some(Err(HttpError::Io(_)))) => return,
--- a/src/net/http.rs
+++ b/src/net/http.rs
@@ -12,14 +12,21 @@
 pub const MAX_BODY_BYTES: usize = 64 * 1024;
 /// Maximum size of a head.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
+/// Maximum capacity of the buffer of an incomplete head, which doubles as it fills.
+pub const MAX_HEAD_BUFFER_BYTES: usize = 2 * MAX_HEAD_BYTES;
 /// Maximum number of header lines.
 const MAX_HEADERS: usize = 64;
 /// Maximum size of the size line of a chunk.
 const MAX_CHUNK_LINE_BYTES: usize = 256;
 /// Maximum number of interim (1xx) responses before the final one.
 const MAX_INTERIM: usize = 16;
-/// An empty read buffer with a larger capacity is freed, in bytes.
-const MAX_KEPT_BUFFER: usize = 16 * 1024;
+/// Initial capacity of a connection's read buffer, in bytes.
+pub const READ_BUFFER_BYTES: usize = 4 * 1024;
+/// Memory that each connection has without a reservation, in bytes: its initial read buffer and a head of usual size, so that small
+/// requests are read whatever others hold.
+const UNRESERVED_BYTES: usize = READ_BUFFER_BYTES + 2 * 1024;
+/// Memory of a header line beside its text, in bytes: two strings and their allocations.
+const HEADER_LINE_BYTES: usize = 2 * (size_of::<String>() + 16);
 
 /// Error while reading or writing a message.
 #[derive(Debug, thiserror::Error)]
@@ -96,6 +103,12 @@
         }
     }
 
+    /// Returns the approximate memory of the head, in bytes.
+    fn head_bytes(&self) -> usize {
+        let lines = self.headers.iter().map(|(name, value)| HEADER_LINE_BYTES + name.len() + value.len());
+        lines.sum()
+    }
+
     /// Returns the first header with a name.
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
@@ -105,14 +118,19 @@
 enum State {
     Head,
     Sized(Message, usize),
+    /// Before the size line of a chunk, with the body so far.
     Chunked(Message, BytesMut),
+    /// Within a chunk, with the number of its bytes that are missing.
+    ChunkData(Message, BytesMut, usize),
+    /// Before the line end after the data of a chunk.
+    ChunkEnd(Message, BytesMut),
     /// After the last chunk: trailers, which end with an empty line.
     Trailers(Message, BytesMut),
     /// The body ends with the connection.
     UntilEnd(Message),
 }
 
-/// Memory for the bodies that are being read on all connections together, in bytes.
+/// Memory for the requests that are being read and processed on all connections together, in bytes.
 #[derive(Debug)]
 pub struct MemoryBudget(AtomicUsize);
 
@@ -128,10 +146,19 @@
         Arc::new(MemoryBudget(AtomicUsize::new(bytes)))
     }
 
-    fn reserve(self: &Arc<Self>, bytes: usize) -> Result<Reservation, HttpError> {
-        let subtract = |available: usize| available.checked_sub(bytes);
-        let reserved = self.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, subtract);
-        reserved.map(|_| Reservation { budget: self.clone(), bytes }).map_err(|_| HttpError::NoMemory)
+    fn reservation(self: Arc<Self>) -> Reservation {
+        Reservation { budget: self, bytes: 0 }
+    }
+}
+
+impl Reservation {
+    /// Changes the reserved size. A smaller one is always granted.
+    fn resize(&mut self, bytes: usize) -> Result<(), HttpError> {
+        let subtract = |available: usize| (available + self.bytes).checked_sub(bytes);
+        let resized = self.budget.0.fetch_update(Ordering::Relaxed, Ordering::Relaxed, subtract);
+        resized.map_err(|_| HttpError::NoMemory)?;
+        self.bytes = bytes;
+        Ok(())
     }
 }
 
@@ -145,21 +172,28 @@
 pub struct Codec {
     reads_requests: bool,
     max_body: usize,
-    budget: Option<Arc<MemoryBudget>>,
-    /// Memory reserved for the body that is being read.
+    /// Memory reserved for the message that is being read and for the last one read. `None` for a client's codec.
     reservation: Option<Reservation>,
+    /// Memory of the read buffer and of the message that is being read, in bytes.
+    reading_bytes: usize,
+    /// Memory of the last message read, until it is released, in bytes.
+    processing_bytes: usize,
     state: State,
 }
 
 impl Codec {
-    /// Creates a codec that reads requests with bodies of at most `max_body` bytes.
+    /// Creates a codec that reads requests with bodies of at most `max_body` bytes. Its connection's read buffer has an initial
+    /// capacity of [`READ_BUFFER_BYTES`].
     pub fn server(max_body: usize, budget: Arc<MemoryBudget>) -> Self {
-        Codec { reads_requests: true, budget: Some(budget), ..Codec::client(max_body) }
+        let reservation = Some(budget.reservation());
+        Codec { reads_requests: true, reservation, ..Codec::client(max_body) }
     }
 
     /// Creates a codec that reads responses with bodies of at most `max_body` bytes.
     pub fn client(max_body: usize) -> Self {
-        Codec { reads_requests: false, max_body, budget: None, reservation: None, state: State::Head }
+        let (reading_bytes, processing_bytes) = (0, 0);
+        let (reads_requests, reservation, state) = (false, None, State::Head);
+        Codec { reads_requests, max_body, reservation, reading_bytes, processing_bytes, state }
     }
 
     fn read_head(&mut self, src: &mut BytesMut) -> Result<Option<State>, HttpError> {
@@ -217,7 +251,6 @@
             if coding != "chunked" {
                 return Err(HttpError::Malformed("unknown Transfer-Encoding"));
             }
-            self.reserve(self.max_body)?;
             return Ok(Some(State::Chunked(message, BytesMut::new())));
         }
         if let Some(length) = lengths.first() {
@@ -227,7 +260,6 @@
             if length > self.max_body {
                 return Err(HttpError::TooLarge(self.max_body));
             }
-            self.reserve(length)?;
             return Ok(Some(State::Sized(message, length)));
         }
         let empty = self.reads_requests
@@ -240,13 +272,35 @@
         match &self.state {
             State::Head => None,
             State::Sized(head, _) | State::Chunked(head, _) | State::Trailers(head, _) => Some(head),
-            State::UntilEnd(head) => Some(head),
+            State::ChunkData(head, ..) | State::ChunkEnd(head, _) | State::UntilEnd(head) => Some(head),
         }
     }
 
-    fn reserve(&mut self, bytes: usize) -> Result<(), HttpError> {
-        self.reservation = self.budget.as_ref().map(|budget| budget.reserve(bytes)).transpose()?;
-        Ok(())
+    /// Reserves the memory that the connection uses beyond [`UNRESERVED_BYTES`], by the capacities of its buffers.
+    fn reserve(&mut self, src: &BytesMut) -> Result<(), HttpError> {
+        let buffered = src.capacity();
+        self.reading_bytes = match &self.state {
+            State::Head => buffered,
+            State::Sized(head, length) => head.head_bytes() + buffered.max(*length),
+            State::Chunked(head, body)
+            | State::ChunkData(head, body, _)
+            | State::ChunkEnd(head, body)
+            | State::Trailers(head, body) => head.head_bytes() + buffered + body.capacity(),
+            State::UntilEnd(head) => head.head_bytes() + buffered,
+        };
+        self.resize_reservation()
+    }
+
+    /// Releases the memory reserved for the last message read, which has been processed.
+    pub fn release_message(&mut self) {
+        self.processing_bytes = 0;
+        // It can fail only if the buffer's own part could not be reserved, which is tried again when the buffer is read.
+        let _ = self.resize_reservation();
+    }
+
+    fn resize_reservation(&mut self) -> Result<(), HttpError> {
+        let needed = (self.reading_bytes + self.processing_bytes).saturating_sub(UNRESERVED_BYTES);
+        self.reservation.as_mut().map_or(Ok(()), |reservation| reservation.resize(needed))
     }
 
     /// Takes one step. Returns whether the state changed, so that another step may follow, and the message if it is complete.
@@ -269,12 +323,18 @@
                 // Copied so that a message does not keep the whole buffer of the connection alive.
                 message.body = Bytes::copy_from_slice(&src[..length]);
                 src.advance(length);
-                if src.is_empty() && src.capacity() > MAX_KEPT_BUFFER {
-                    *src = BytesMut::new();
+                if length + message.head_bytes() > READ_BUFFER_BYTES || src.capacity() > READ_BUFFER_BYTES {
+                    shrink(src);
                 }
                 Ok((false, Some(message)))
             }
-            State::Chunked(message, mut body) => match httparse::parse_chunk_size(src) {
+            State::Sized(message, length) => {
+                // The whole body at once, so that the buffer does not grow beyond it.
+                src.reserve(length - src.len());
+                self.state = State::Sized(message, length);
+                Ok((false, None))
+            }
+            State::Chunked(message, body) => match httparse::parse_chunk_size(src) {
                 Err(_) => Err(HttpError::Malformed("chunk size")),
                 Ok(httparse::Status::Complete((used, 0))) => {
                     src.advance(used);
@@ -286,24 +346,43 @@
                 {
                     Err(HttpError::TooLarge(self.max_body))
                 }
-                Ok(httparse::Status::Complete((used, size))) if src.len() >= used + size as usize + 2 => {
+                Ok(httparse::Status::Complete((used, size))) => {
                     src.advance(used);
-                    body.extend_from_slice(&src[..size as usize]);
-                    if &src[size as usize..size as usize + 2] != b"\r\n" {
-                        return Err(HttpError::Malformed("chunk end"));
-                    }
-                    src.advance(size as usize + 2);
-                    self.state = State::Chunked(message, body);
+                    self.state = State::ChunkData(message, body, size as usize);
                     Ok((true, None))
                 }
                 Ok(httparse::Status::Partial) if src.len() > MAX_CHUNK_LINE_BYTES => {
                     Err(HttpError::Malformed("chunk size"))
                 }
-                Ok(_) => {
+                Ok(httparse::Status::Partial) => {
                     self.state = State::Chunked(message, body);
                     Ok((false, None))
                 }
             },
+            // Moved as they arrive, so that the read buffer does not grow with the chunk.
+            State::ChunkData(message, mut body, missing) => {
+                let arrived = src.len().min(missing);
+                body.extend_from_slice(&src[..arrived]);
+                src.advance(arrived);
+                let complete = arrived == missing;
+                self.state = match complete {
+                    true => State::ChunkEnd(message, body),
+                    false => State::ChunkData(message, body, missing - arrived),
+                };
+                Ok((complete, None))
+            }
+            State::ChunkEnd(message, body) => match &src[..src.len().min(2)] {
+                b"\r\n" => {
+                    src.advance(2);
+                    self.state = State::Chunked(message, body);
+                    Ok((true, None))
+                }
+                b"" | b"\r" => {
+                    self.state = State::ChunkEnd(message, body);
+                    Ok((false, None))
+                }
+                _ => Err(HttpError::Malformed("chunk end")),
+            },
             State::Trailers(mut message, body) => match src.windows(2).position(|pair| pair == b"\r\n") {
                 Some(0) => {
                     src.advance(2);
@@ -333,14 +412,17 @@
                 self.state = State::UntilEnd(message);
                 Ok((false, None))
             }
-            waiting => {
-                self.state = waiting;
-                Ok((false, None))
-            }
         }
     }
 }
 
+/// Moves what is left in a read buffer to one of the initial capacity, or larger if it needs more.
+fn shrink(src: &mut BytesMut) {
+    let mut rest = BytesMut::with_capacity(src.len().max(READ_BUFFER_BYTES));
+    rest.extend_from_slice(src);
+    *src = rest;
+}
+
 fn need_more<T>(src: &BytesMut) -> Result<Option<T>, HttpError> {
     if src.len() > MAX_HEAD_BYTES { Err(HttpError::Malformed("head too long")) } else { Ok(None) }
 }
@@ -352,11 +434,15 @@
     fn decode(&mut self, src: &mut BytesMut) -> Result<Option<Message>, HttpError> {
         loop {
             let (again, message) = self.step(src, false)?;
+            if let Some(message) = message {
+                self.processing_bytes = message.head_bytes() + message.body.len();
+                // The message is complete, so it is not refused for what follows it in the buffer; that is reserved when it is read.
+                let _ = self.reserve(src);
+                return Ok(Some(message));
+            }
+            self.reserve(src)?;
             if !again {
-                if message.is_some() {
-                    self.reservation = None;
-                }
-                return Ok(message);
+                return Ok(None);
             }
         }
     }
--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -16,9 +16,11 @@
 use tracing::{debug, warn};
 
 use super::PartnerProtocol;
-use super::http::{Codec, HttpError, IDEMPOTENCY_KEY, MAX_BODY_BYTES, MemoryBudget, Message, Start};
-use super::is_quiet;
+use super::http::{
+    Codec, HttpError, IDEMPOTENCY_KEY, MAX_BODY_BYTES, MemoryBudget, Message, READ_BUFFER_BYTES, Start,
+};
 use super::stream::Stream;
+use super::is_quiet;
 use crate::exchange::{Answer, Clock, Exchange, IdempotencyKey, IdempotencyKeyError};
 use crate::input::Input;
 use crate::interface::{Class, Effect, Micros};
@@ -57,6 +59,8 @@
 const RESPONSE_TIMEOUT: Micros = 1_000_000;
 /// Time for which bytes that arrive after the last response are read, in microseconds.
 const LINGER_TIMEOUT: Micros = 1_000_000;
+/// Size of the buffer into which they are read, in bytes. All connections may do so at once.
+const LINGER_BUFFER_BYTES: usize = 2 * 1024;
 /// Maximum number of these bytes.
 const MAX_LINGER_BYTES: usize = 4 * 1024 * 1024;
 
@@ -290,7 +294,8 @@
         InboundProtocol::Partner(partners) => (partners.max_message_bytes(), PARTNER_REQUEST_TIMEOUT),
         InboundProtocol::Platform(_) => (MAX_BODY_BYTES, REQUEST_TIMEOUT),
     };
-    let mut framed = Framed::new(Stream::new(stream), Codec::server(max_body, inbound.budget.clone()));
+    let codec = Codec::server(max_body, inbound.budget.clone());
+    let mut framed = Framed::with_capacity(Stream::new(stream), codec, READ_BUFFER_BYTES);
     let mut leaving = inbound.standing.drain_mode();
     let accepted = clock.now();
     // Connections close at different times, so that their clients do not all move to other relays at once.
@@ -364,6 +369,7 @@
         let sent =
             tokio::time::timeout_at(until, send_response(&mut framed, &response, &mut nothing_sent)).await;
         inbound.busy.fetch_sub(1, Ordering::Relaxed);
+        framed.codec_mut().release_message();
         if !matches!(sent, Ok(Ok(()))) {
             match sent {
                 Ok(Err(error)) => registration.log_close(&format!("cannot write the response: {error}")),
@@ -424,7 +430,7 @@
     if stream.shutdown().await.is_err() {
         return;
     }
-    let (mut bytes, mut left) = (vec![0; 16 * 1024], MAX_LINGER_BYTES);
+    let (mut bytes, mut left) = (vec![0; LINGER_BUFFER_BYTES], MAX_LINGER_BYTES);
     let until = clock.instant(clock.now() + LINGER_TIMEOUT);
     loop {
         tokio::select! {
--- a/tests/stand/mod.rs
+++ b/tests/stand/mod.rs
@@ -96,6 +96,18 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("its descriptors").count()
     }
 
+    /// Returns the peak of the process's memory less the parts of files that are mapped now, in bytes. The size of the program itself
+    /// depends on the build.
+    pub fn peak_private_memory(&self) -> u64 {
+        let status =
+            std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("its status");
+        let kilobytes = |key: &str| -> u64 {
+            let line = status.lines().find_map(|line| line.strip_prefix(key)).expect("a line");
+            line.trim().trim_end_matches(" kB").parse().expect("a number")
+        };
+        (kilobytes("VmHWM:") - kilobytes("RssFile:")) * 1024
+    }
+
     fn launch(mut command: Command) -> Self {
         let mut child = command.stderr(Stdio::piped()).spawn().expect("the program starts");
         let lines = BufReader::new(child.stderr.take().expect("its log")).lines();
