Submit no request whose client has reset its connection

Callers saw: a client writes many requests, closes its connection with them unread, and some are sent on afterwards; handed in elsewhere they run twice.

Cause: on Linux, bytes that arrived before a reset can still be read. A request was submitted without a look at the connection, and only the answer that could not be written showed the reset, when the call was under way.

Change: a pending error of the socket is looked for before a request is processed. Both fronts use this code.

--- a/src/net/inbound.rs
+++ b/src/net/inbound.rs
@@ -20,7 +20,7 @@
     Codec, HttpError, IDEMPOTENCY_KEY, MAX_BODY_BYTES, MemoryBudget, Message, READ_BUFFER_BYTES, Start,
 };
 use super::stream::Stream;
-use super::is_quiet;
+use super::{is_quiet, is_reset};
 use crate::exchange::{Answer, Clock, Exchange, IdempotencyKey, IdempotencyKeyError};
 use crate::input::Input;
 use crate::interface::{Class, Effect, Micros};
@@ -354,6 +354,10 @@
                 let response = Message::response(400, "malformed: bytes after the body");
                 return send_last(clock, framed, response, registration).await;
             }
+            // Its client cannot hear that a message was accepted, and may submit it elsewhere.
+            Some(Ok(_)) if is_reset(framed.get_ref()) => {
+                return registration.log_close("reset by the client before its request was processed");
+            }
             Some(Ok(request)) => {
                 registration.set_stage(Stage::Responding);
                 let keep_alive = request.keep_alive;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -46,6 +46,11 @@
     fn expected_receipt(&self, exchange: &Exchange) -> Option<Expected>;
 }
 
+/// Returns whether the peer has reset a connection. What had arrived before can still be read then.
+fn is_reset(stream: &Stream) -> bool {
+    !matches!(socket2::SockRef::from(stream.socket()).take_error(), Ok(None))
+}
+
 /// Returns whether a connection is open with nothing left to read. Asks the operating system, as the readiness state of the event
 /// loop may be stale.
 fn is_quiet(stream: &Stream) -> bool {
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -506,6 +506,14 @@
         .await;
     }
 
+    /// Waits for the next message and asserts its id; returns the channel for its answer.
+    async fn assert_next_message(&mut self, id: &str) -> oneshot::Sender<Answer> {
+        match within_deadline(self.inputs.recv()).await {
+            Some(Input::Submitted(exchange, _, reply)) if exchange.id == id => reply,
+            other => panic!("expected {id}, not {other:?}"),
+        }
+    }
+
     /// Waits for the next message; returns the channel for its answer.
     async fn next_message(&mut self) -> oneshot::Sender<Answer> {
         match within_deadline(self.inputs.recv()).await {
@@ -588,6 +596,31 @@
     );
 }
 
+/// Writes requests for the messages m-1 and m-2 at once and closes the connection, before the relay has read a byte.
+fn write_two_requests_and_close(address: SocketAddr, reset: bool) {
+    let mut stream = std::net::TcpStream::connect(address).expect("a connection");
+    let requests = [SUBMIT_REQUEST, &SUBMIT_REQUEST.replace("m-1", "m-2")].concat();
+    std::io::Write::write_all(&mut stream, requests.as_bytes()).expect("written");
+    let linger = reset.then_some(Duration::ZERO);
+    socket2::SockRef::from(&stream).set_linger(linger).expect("the way of the close is set");
+}
+
+// Guards against messages that are sent on although their client has closed its connection with their requests still unread.
+#[tokio::test]
+async fn requests_on_a_connection_that_its_client_has_reset_are_not_submitted() {
+    let mut front = ClientSide::open().await;
+    write_two_requests_and_close(front.address, true);
+    let mut other = front.connect().await;
+    other.write_all(SUBMIT_REQUEST.replace("m-1", "m-3").as_bytes()).await.expect("written");
+    front.assert_next_message("m-3").await.send(Answer::Accepted).expect("an open channel");
+    // A client that has closed for good looks like one that waits for its answer, until an answer reaches it.
+    write_two_requests_and_close(front.address, false);
+    front.assert_next_message("m-1").await.send(Answer::Accepted).expect("an open channel");
+    let mut last = front.connect().await;
+    last.write_all(SUBMIT_REQUEST.replace("m-1", "m-4").as_bytes()).await.expect("written");
+    front.assert_next_message("m-4").await.send(Answer::Accepted).expect("an open channel");
+}
+
 #[tokio::test]
 async fn an_answer_arrives_although_data_is_received_while_the_connection_closes() {
     let front = ClientSide::open().await;
