Hold back a call whose endpoint is listed elsewhere since it was decided

Callers saw: a message reaches another destination, where a new endpoint came up at the address of one that had gone: 12 and 13 messages in 21 and 23 exchanges of two endpoints' places, up to 2.2 ms after the list was given to discovery.

Cause: the last check before the bytes looked at the endpoint's id alone. An id that stays in service, at another address or for another destination, passed, while the call kept its old address.

Change: the send guard keeps the place of each listed endpoint, its address and its destination. A call for another place is not sent, up to its last byte, and is decided anew, as after a drain.

Ruled out: idle connections (they are kept by address and id, and end with their process), and a late list.

--- a/src/net/send_guard.rs
+++ b/src/net/send_guard.rs
@@ -1,5 +1,5 @@
 //! Last check before the bytes of a call are written: connecting can take a second, and the decision to call may no longer hold by
-//! then. Holds what forbids a call: server-requested waits, endpoints out of service, and the end of the process. It neither
+//! then. Holds what forbids a call: server-requested waits, endpoints out of service or listed elsewhere, and the end of the process. It neither
 //! chooses where a call goes nor delays one: a call that is not allowed ends as not sent.
 
 use std::collections::HashMap;
@@ -20,6 +20,8 @@
     held_until: HashMap<usize, Micros>,
     /// Endpoints out of service, and since when.
     out_of_service: HashMap<TargetId, Micros>,
+    /// Where the newest list has each endpoint: its address and its destination.
+    places: HashMap<TargetId, (Arc<str>, i64)>,
     /// Time from which no call is sent.
     stop_at: Option<Micros>,
 }
@@ -67,6 +69,17 @@
         });
     }
 
+    /// Sets where the newest list has an endpoint. Calls to it that were decided for another address or destination are forbidden:
+    /// another endpoint may be there now.
+    pub fn set_place(&self, target: TargetId, address: Arc<str>, destination: i64) {
+        self.change(|restrictions, _| drop(restrictions.places.insert(target, (address, destination))));
+    }
+
+    /// Forgets where an endpoint was that is no longer listed. It is out of service.
+    pub fn forget_place(&self, target: TargetId) {
+        self.change(|restrictions, _| drop(restrictions.places.remove(&target)));
+    }
+
     /// Forbids all calls from a time on.
     pub fn stop_at(&self, from: Micros) {
         self.change(|restrictions, _| {
@@ -79,9 +92,11 @@
         let (now, restrictions) = (self.clock.now(), self.restrictions());
         let held = restrictions.held_until.get(&call.path).is_some_and(|until| now < *until);
         let out_of_service = restrictions.out_of_service.contains_key(&call.target);
+        let place = (call.address.clone(), call.exchange.destination);
+        let moved = restrictions.places.get(&call.target).is_some_and(|listed| *listed != place);
         let late = now >= call.start_by.min(call.deadline)
             || restrictions.stop_at.is_some_and(|stop_at| now >= stop_at);
-        !held && !out_of_service && !late
+        !held && !out_of_service && !moved && !late
     }
 
     /// Completes once a call may no longer be sent.
--- a/src/runtime/destinations.rs
+++ b/src/runtime/destinations.rs
@@ -28,6 +28,7 @@
             }
             self.destinations.insert(member.entry.cell());
             self.set_address(target, &member);
+            self.caller.send_guard().set_place(target, member.address.clone(), member.entry.cell());
             raw.push(member.entry);
         }
         let entries = self.read_entries(&raw);
@@ -68,6 +69,7 @@
     /// more to it, and a call in flight has its address.
     fn remove_target(&mut self, target: TargetId) {
         self.caller.send_guard().set_in_service(target, false);
+        self.caller.send_guard().forget_place(target);
         self.addresses.remove(&target);
         self.names.forget(target);
         self.effects.push(Effect::Close(target));
--- a/tests/stand/runtime.rs
+++ b/tests/stand/runtime.rs
@@ -103,6 +103,7 @@
     pub state: PathBuf,
     pub config: Config,
     pub fails: Arc<AtomicBool>,
+    pub send_guard: SendGuard,
     pub inputs: mpsc::Sender<Input>,
     pub calls: mpsc::UnboundedReceiver<OutboundCall>,
     pub notices: mpsc::UnboundedReceiver<NonDeliveryReport>,
@@ -131,8 +132,9 @@
         let (journal, replay) =
             Journal::replay_from(Box::new(storage), config.journal_room()).expect("a journal");
         let ((notice, notices), (started, calls)) = (mpsc::unbounded_channel(), mpsc::unbounded_channel());
+        let send_guard = SendGuard::new(clock);
         let caller =
-            RecordingCaller { calls: started, handles: Arc::default(), send_guard: SendGuard::new(clock) };
+            RecordingCaller { calls: started, handles: Arc::default(), send_guard: send_guard.clone() };
         let relay = (Relay::new(config.settings.clone(), 1).expect("sound"), config.settings.clone());
         let names = config.names.clone();
         let mut runtime = Runtime::new(clock, relay, names, (99, 1 << 20), journal, Box::new(caller), notice);
@@ -145,7 +147,7 @@
         }
         let (inputs, received) = mpsc::channel(64);
         let task = tokio::task::spawn_local(runtime.run(received));
-        TestRuntime { clock, state, config, fails, inputs, calls, notices, task }
+        TestRuntime { clock, state, config, fails, send_guard, inputs, calls, notices, task }
     }
 
     /// Replaces the process by another one, which takes over while this one runs.
