Limit the error receipts that anybody can have the relay sign

Callers saw: a client that names an AS2 partner, signs nothing and asks for receipts delays all others: their answers took 1.10 s in the middle, 1.35 s at most; clients give up after 0.4 s.

Cause: each rejected request with Disposition-Notification-To got a signed receipt, 3.2 ms on the only thread, before anything shows who sent it, and a warning in the log (32 to 34 MB in 5 s without receipts). Evidence: the same flood without that header delays others by 10 ms at most.

Change: at most ten error receipts are signed, and ten such lines logged, in a second (src/rate.rs); further errors are a plain 400, as without the header. Receipts for accepted messages are not limited.

Ruled out: the requests' number alone, ever new senders, and memory (16.6 MB at the end, 15.8 without receipts).

--- a/src/as2.rs
+++ b/src/as2.rs
@@ -28,11 +28,16 @@
 use crate::net::http::{MAX_BODY_BYTES, Message, Start};
 use crate::net::progress::Progress;
 use crate::net::{BoxFuture, PartnerProtocol};
+use crate::rate::RateLimit;
 
 /// Maximum size of an AS2 message in bytes: body, signature and MIME structure.
 const MAX_MESSAGE_BYTES: usize = 4 * MAX_BODY_BYTES;
 /// Maximum number of receipts kept in memory, which takes about 80 MB.
 const MAX_RECEIPTS: usize = 32_768;
+/// Maximum number of signed error receipts in a second. Anybody can cause one, and each takes milliseconds of the only thread.
+const ERROR_RECEIPTS_PER_SECOND: u32 = 10;
+/// Maximum number of log lines about rejected requests in a second.
+const REJECTIONS_LOGGED_PER_SECOND: u32 = 10;
 /// Attempts to post an asynchronous receipt. If all fail, it is posted again when the partner resends its message.
 const RECEIPT_POST_ATTEMPTS: usize = 3;
 /// Timeout of one attempt to post a receipt, in microseconds.
@@ -139,6 +144,12 @@
     in_progress: HashSet<String>,
 }
 
+/// Limits on what requests that are rejected cost.
+struct RejectionLimits {
+    receipts: RateLimit,
+    log: RateLimit,
+}
+
 /// The AS2 front.
 pub struct As2 {
     identity: Identity,
@@ -146,6 +157,7 @@
     inputs: mpsc::Sender<Input>,
     connections: Connections,
     receipt_state: Mutex<ReceiptState>,
+    rejection_limits: Mutex<RejectionLimits>,
 }
 
 /// A signed body and its `Content-Type`.
@@ -368,7 +380,22 @@
     ) -> Self {
         let sent = receipts.into_iter().map(|receipt| (receipt.key.clone(), receipt)).collect();
         let receipt_state = Mutex::new(ReceiptState { sent, ..ReceiptState::default() });
-        As2 { identity, clock, inputs, connections, receipt_state }
+        let rejection_limits = Mutex::new(RejectionLimits {
+            receipts: RateLimit::new(ERROR_RECEIPTS_PER_SECOND),
+            log: RateLimit::new(REJECTIONS_LOGGED_PER_SECOND),
+        });
+        As2 { identity, clock, inputs, connections, receipt_state, rejection_limits }
+    }
+
+    fn rejection_limits(&self) -> MutexGuard<'_, RejectionLimits> {
+        self.rejection_limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Logs why a request is rejected, unless too many were.
+    fn log_rejection(&self, from: &str, error: &As2Error) {
+        if let Some(not_logged) = self.rejection_limits().log.allow(self.clock.now()) {
+            warn!(not_logged, "rejected AS2 request from {from:?}: {error}");
+        }
     }
 
     fn receipt_state(&self) -> MutexGuard<'_, ReceiptState> {
@@ -475,7 +502,7 @@
         match self.handle_request(request).await {
             Ok(answer) => answer,
             Err(error) => {
-                warn!("rejected AS2 request from {:?}: {error}", as2_name(request, "AS2-From"));
+                self.log_rejection(&as2_name(request, "AS2-From"), &error);
                 let status = if matches!(error, As2Error::UnknownPartner(_)) { 403 } else { 400 };
                 Message::response(status, error.to_string())
             }
@@ -496,9 +523,10 @@
                 Some(disposition) => self.handle_receipt(partner, &disposition, request.body.clone()).await,
                 None => self.handle_submission(partner, id, &part, request).await,
             },
-            // A partner that requested a receipt gets the error in a receipt; the message has no other effect.
-            Err(error) if request.header("Disposition-Notification-To").is_some() => {
-                warn!(partner = partner.name, "{id}: {error}");
+            // A partner that requested a receipt gets the error in a receipt; the message has no other effect. Beyond the limit the
+            // error comes without one.
+            Err(error) if self.sends_error_receipt(request) => {
+                self.log_rejection(&partner.name, &error);
                 let name = error.to_string();
                 let name = name.split(':').next().unwrap_or_default();
                 let disposition = format!("processed/error: {name}");
@@ -509,6 +537,12 @@
         }
     }
 
+    /// Whether a request that is rejected gets a signed receipt.
+    fn sends_error_receipt(&self, request: &Message) -> bool {
+        request.header("Disposition-Notification-To").is_some()
+            && self.rejection_limits().receipts.allow(self.clock.now()).is_some()
+    }
+
     /// Signs a receipt. The result is its `Content-Type`, a line feed and its body.
     fn signed_receipt(&self, part: &[u8]) -> Result<Bytes, ErrorStack> {
         let signed = sign(part, &self.identity.key, &self.identity.certificate)?;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -93,6 +93,7 @@
 pub mod jitter;
 pub mod net;
 mod pacing;
+pub mod rate;
 pub mod recording;
 pub mod retry;
 pub mod rules;
--- a/tests/as2.rs
+++ b/tests/as2.rs
@@ -596,6 +596,31 @@
     assert_eq!(first.body, b"faulty", "the one with a sound signature");
 }
 
+// Guards against answers that come late, as anybody can have the relay sign error receipts without end.
+#[test]
+fn unsigned_messages_at_full_speed_are_rejected_with_few_signed_receipts() {
+    const MESSAGES: usize = 200;
+    /// Error receipts that the relay signs in a second, at most.
+    const PER_SECOND: u64 = 10;
+    let scene = Scene::set("as2-unsigned-flood");
+    let unsigned = |number: usize| {
+        format!(
+            "POST /as2 HTTP/1.1\r\nAS2-From: DESK\r\nAS2-To: RELAY\r\nMessage-ID: <{number}@desk>\r\n\
+             Disposition-Notification-To: DESK\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\nbody"
+        )
+    };
+    let mut stream = connect(&scene.program.addresses[1]);
+    let began = Instant::now();
+    stream.write_all((0..MESSAGES).map(unsigned).collect::<String>().as_bytes()).expect("written");
+    let answers: Vec<u16> =
+        (0..MESSAGES).map(|_| read_http(&mut stream).expect("an answer").status()).collect();
+    let seconds = began.elapsed().as_secs() + 2;
+    assert_eq!(answers[0], 200, "the first one gets a receipt");
+    let receipts = answers.iter().filter(|status| **status == 200).count() as u64;
+    assert!(receipts <= PER_SECOND * seconds, "{receipts} receipts in less than {seconds} s");
+    assert!(answers.iter().all(|status| matches!(status, 200 | 400)), "{answers:?}");
+}
+
 #[test]
 fn an_asynchronous_receipt_goes_where_the_configuration_says_and_a_duplicate_gets_the_same() {
     let scene = Scene::set("as2-asynchronous");
