Reject a message over AS2 whose Message-ID another message has

Callers saw: a partner's message that asks for no receipt is answered 200 and dropped, when its Message-ID was accepted with other content before; with a receipt it got that of the first one, whose MIC shows it.

Change: a known Message-ID gets its receipt again only if the receipt states the MIC of the content; else 400.

Not changed: a partner that signs the same content anew under its Message-ID gets the first receipt, as before.

tests/crossings.rs loses a mut that the linter names.

--- a/src/as2.rs
+++ b/src/as2.rs
@@ -69,6 +69,9 @@
     /// The receipt reports that the message was not processed.
     #[error("not-processed: {0}")]
     NotProcessed(String),
+    /// Another message with this `Message-ID` was accepted.
+    #[error("known Message-ID: another message with it was accepted")]
+    KnownMessageId,
     /// The message or receipt cannot be parsed.
     #[error("malformed: {0}")]
     Malformed(&'static str),
@@ -573,6 +576,10 @@
             let mut receipt_state = self.receipt_state();
             if let Some(receipt) = receipt_state.sent.get(&key).map(|receipt| receipt.bytes.clone()) {
                 drop(receipt_state);
+                // The receipt is for the content whose MIC it states; other content was not accepted.
+                if find(&receipt, sha256(part)?.as_bytes(), 0).is_none() {
+                    return Err(As2Error::KnownMessageId);
+                }
                 return self.deliver_receipt(partner, id, &receipt, request);
             }
             // Dropping a receipt early could let a duplicate through, so new messages are refused until there is room.
--- a/tests/as2.rs
+++ b/tests/as2.rs
@@ -596,6 +596,18 @@
     assert_eq!(first.body, b"faulty", "the one with a sound signature");
 }
 
+// Guards against a message that is answered as accepted and dropped, as its Message-ID belongs to another one.
+#[test]
+fn another_message_under_a_known_message_id_is_rejected() {
+    let scene = Scene::set("as2-known-id");
+    let first = post("DESK", "RELAY", "<1@desk>", "", &content("first"), &scene.names[2]);
+    let other = post("DESK", "RELAY", "<1@desk>", "", &content("other"), &scene.names[2]);
+    for (request, status) in [(&first, 200), (&other, 400), (&first, 200)] {
+        assert_eq!(scene.post(request).status(), status);
+    }
+    assert_eq!(read_http(&mut accept(&scene.plain)).expect("a call").body, b"first");
+}
+
 // Guards against answers that come late, as anybody can have the relay sign error receipts without end.
 #[test]
 fn unsigned_messages_at_full_speed_are_rejected_with_few_signed_receipts() {
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -626,7 +626,7 @@
 async fn a_client_that_sends_many_requests_at_once_does_not_delay_the_request_of_another() {
     const REQUESTS: usize = 400;
     let mut front = ClientSide::open().await;
-    let (mut many, mut one) = (front.connect().await, front.connect().await);
+    let (mut many, one) = (front.connect().await, front.connect().await);
     let requests = "GET /health/live HTTP/1.1\r\n\r\n".repeat(REQUESTS);
     assert_eq!(many.try_write(requests.as_bytes()).expect("written"), requests.len());
     assert_eq!(one.try_write(SUBMIT_REQUEST.as_bytes()).expect("written"), SUBMIT_REQUEST.len());
